--- /dev/null
+++ b/src/guard/guard.cpp
@@ -0,0 +1,586 @@
+// THE decision module. The adapter asks where() for each req (and again when a hold's wait() is over),
+// after() for each outcome, and due() after each batch and each wait(); facts come by the other calls. The
+// interface stands in guard.h, the state in state.h. Every decision, threshold, table and tuned value is
+// here. The mechanism is docs/design.md's: own log-likelihood ratio on trial outcomes, reports to the fusers
+// when it has moved a step, the fusers' CUSUM, and their votes.
+#include "guard/guard.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+namespace myrtlehead {
+
+namespace {
+
+// The mechanism's values, as the design page starts them.
+constexpr double kStep = 1.5;      // net move of the ratio that is reported
+constexpr double kThreshold = 8;   // to which the log of the stage's outcomes is added
+constexpr double kHoldLevel = 0.5; // share of the threshold above which no vote goes on
+constexpr int kLeastFusers = 3;
+constexpr Ns kYoung = 5 * kSec;   // outcomes this soon after a node's start are no evidence
+constexpr Ns kOnAfter = 3 * kSec; // of quiet since the newest start, before a vote on
+constexpr Ns kRenew = 4 * kSec;
+constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.3;
+constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
+
+// Routing and health.
+constexpr Ns kBeat = 50 * kMs;      // how often due() looks round
+constexpr double kLearn = 0.1;      // weight of the newest sample in a running mean
+constexpr Ns kForget = 5 * kSec;    // a node's latency is half forgiven after this without news of it
+constexpr double kFailWeight = 10;  // a node that fails always looks this much more loaded
+constexpr double kCrossWeight = 10; // per unit of cross-zone price, likewise
+constexpr double kTrialCrowd = 4; // a trial node this many times as crowded as the other pick is passed over
+constexpr int kStrikes = 3;       // hard failures in a row that put a node out of use
+constexpr double kFailRest = 0.5; // or this share of failures
+constexpr Ns kRest = kSec / 2, kMostRest = 8 * kSec; // first spell out of use, doubling
+constexpr Ns kReportLife = kSec;                     // an older load report says nothing
+constexpr double kPatience = 0.8; // share of the objective that a try may take while another may follow
+constexpr double kDoubt = 0.4;    // the same at a node that has just failed
+constexpr double kResendShare = 0.2, kResendBurst = 10; // further tries, as a share of reqs taken
+constexpr double kHoldShare = 0.5; // of the objective that a req is held for want of a node
+constexpr Ns kHoldLook = 20 * kMs;
+constexpr double kColdBudget = 0.6;                // share of the cold rule's budget that we plan to use
+constexpr double kColdLeast = 2;                   // sends to a cold node in a fall span, whatever the budget
+constexpr double kLimitUp = 0.1, kLimitDown = 0.6; // rests where one outcome in seven is late
+constexpr double kLowLevel = 0.75;                 // share of the limit open to the least important route
+constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs;
+
+constexpr std::uint8_t kNoteVersion = 1;
+constexpr std::size_t kNoteSize = 14;
+
+bool hardFailure(Outcome o) {
+  return o == Outcome::errored || o == Outcome::timedOut || o == Outcome::reset || o == Outcome::unreachable;
+}
+
+bool neverRan(Outcome o) {
+  return o == Outcome::turnedAway || o == Outcome::unreachable || o == Outcome::notSent;
+}
+
+const char *word(Verdict v) {
+  constexpr const char *kWords[] = {"withdraws", "on", "hold", "back"};
+  return kWords[static_cast<int>(v)];
+}
+
+template <class... A> std::string line(const char *format, A... a) {
+  char text[160];
+  std::snprintf(text, sizeof text, format, a...);
+  return text;
+}
+
+void put(std::vector<std::uint8_t> &to, std::uint32_t v, int n) {
+  while (n-- > 0)
+    to.push_back(static_cast<std::uint8_t>(v >> (8 * n)));
+}
+
+std::uint32_t get(const std::uint8_t *p, int n) {
+  std::uint32_t v = 0;
+  while (n-- > 0)
+    v = v << 8 | *p++;
+  return v;
+}
+
+} // namespace
+
+Guard::Guard(Deployment deployment, std::uint64_t seed, Ns now) {
+  s.d = std::move(deployment);
+  s.chance.seed(static_cast<std::knuth_b::result_type>(seed ^ seed >> 32));
+  // What the last life of this marshal sent to a trial is unknown, so no free try is assumed left.
+  s.credit.assign(s.d.rollout.capByRoute ? std::max<std::size_t>(s.d.routes.size(), 1) : 1, 0.0);
+  s.resendCredit = kResendBurst;
+  s.limit = 1e6; // none until the first late outcome
+  s.rateAt = now;
+}
+
+double Guard::uniform() {
+  return std::uniform_real_distribution<double>(0, 1)(s.chance);
+}
+
+// ---- Exposure ----
+
+// A build that the news does not name yet counts as on trial in the first stage; before any news, so does
+// every build but the oldest listed.
+bool Guard::onTrial(int build) const {
+  if (s.haveNews) return build > s.news.build || (build == s.news.build && s.news.phase != Phase::released);
+  return std::any_of(s.ready.begin(), s.ready.end(), [&](auto *n) { return n->listing.build < build; });
+}
+
+double Guard::capOf(int build) const {
+  if (s.haveNews && build == s.news.build) return s.news.phase == Phase::trial ? s.news.cap : 0;
+  return s.d.rollout.caps.empty() ? 0 : s.d.rollout.caps.front();
+}
+
+double &Guard::creditFor(const Req &rq) {
+  return s.credit[s.d.rollout.capByRoute ? static_cast<std::size_t>(rq.route) : 0];
+}
+
+// The windowed count of the design, held for every window that is yet to end as well: each req taken adds the
+// cap, each trial try takes one, and no more than `free` is ever saved up.
+void Guard::bookCredit(const Req &rq) {
+  double cap = s.haveNews ? capOf(s.news.build) : 1;
+  for (const auto *n : s.ready)
+    if (onTrial(n->listing.build)) cap = std::min(cap, capOf(n->listing.build));
+  if (!s.haveNews || s.news.phase != Phase::trial) cap = capOf(s.news.build + 1);
+  auto &credit = creditFor(rq);
+  credit = std::min(credit + cap * (1 - 1e-6), s.d.rollout.free);
+}
+
+bool Guard::trialOpen(const Req &rq, int build) const {
+  const int stage = s.haveNews && build == s.news.build ? s.news.stage : 0;
+  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  if (stage < s.d.rollout.guardedStages && route.repeat != Repeat::retriable) return false;
+  return capOf(build) > 0 && const_cast<Guard *>(this)->creditFor(rq) >= 1;
+}
+
+// ---- Nodes ----
+
+// The least share of its capacity that a node has by now.
+double Guard::warmth(const Node &n, Ns now) const {
+  if (n.listing.start == 0 || s.d.coldFor <= 0) return 1;
+  const double age = static_cast<double>(std::max<Ns>(now - n.listing.start, 0));
+  return std::min(1.0, s.d.coldFrom + (1 - s.d.coldFrom) * age / static_cast<double>(s.d.coldFor));
+}
+
+// Guards against pushing over a cold node, also when many come back at once: marshals are held to what a warm
+// node gets from them, so their sum stays inside the budget without their knowing of each other.
+bool Guard::coldRoom(const Node &n, Ns now) const {
+  const double warm = warmth(n, now);
+  if (warm >= 1) return true;
+  const double span = static_cast<double>(s.d.fallSpan);
+  const double sent = n.sentLately * std::exp(-static_cast<double>(now - n.sentAt) / span);
+  const double budget = kColdBudget * s.d.fallMultiple * warm * s.warmRate * span / static_cast<double>(kSec);
+  return sent + 1 <= std::max(budget, kColdLeast);
+}
+
+// Own load: tries out here, each by the time that tries here take; failing and far nodes look fuller.
+double Guard::load(const Node &n, Ns now) const {
+  const double age = static_cast<double>(now - n.latencyAt) / static_cast<double>(kForget);
+  const double own = n.latency > 0 ? n.latency : s.latency;
+  const double time = std::max(s.latency + (own - s.latency) * std::exp2(-age), 1e6);
+  const bool fresh = n.reportedAt > 0 && now - n.reportedAt < kReportLife;
+  const double far = n.listing.zone == s.d.zone ? 1 : 1 + kCrossWeight * s.d.crossZonePrice;
+  const double queue = 1 + n.inflight + (fresh ? n.reported : 0);
+  return queue * time * far * (1 + kFailWeight * n.failShare) / warmth(n, now);
+}
+
+// A deduped req that may have run stays with the group that drops its repeats; a key that a build has
+// answered goes to no earlier one where there is no return.
+bool Guard::mayTake(const Req &rq, const Node &n) const {
+  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  if (route.repeat == Repeat::deduped && route.group != Group::all)
+    for (const auto &t : rq.tries) {
+      if (!t.mayHaveRun) continue;
+      if (n.listing.zone != t.zone && route.group == Group::zone) return false;
+      if (n.listing.cell != t.cell && route.group == Group::cell) return false;
+      break;
+    }
+  if (!s.d.rollout.noReturn || rq.key == 0) return true;
+  const auto it = s.keyBuild.find(rq.key);
+  if (it == s.keyBuild.end() || n.listing.build >= it->second) return true;
+  const bool goesBack =
+      it->second == s.news.build && (s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn);
+  return goesBack;
+}
+
+// Two random choices by own load. Nodes that rest are left out unless half of the build rests: then the
+// trouble is not theirs. Nodes tried before for this req come last.
+Node *Guard::twoChoices(std::vector<Node *> &from, const Req &rq, Ns now) {
+  std::erase_if(from, [&](Node *n) { return !mayTake(rq, *n) || !coldRoom(*n, now); });
+  const auto rests = std::count_if(from.begin(), from.end(), [&](Node *n) { return n->restUntil > now; });
+  if (2 * rests < static_cast<std::ptrdiff_t>(from.size()))
+    std::erase_if(from, [&](Node *n) { return n->restUntil > now; });
+  const auto tried = [&](Node *n) {
+    return std::any_of(rq.tries.begin(), rq.tries.end(), [&](const Try &t) { return t.node == n; });
+  };
+  if (!rq.tries.empty() && !std::all_of(from.begin(), from.end(), tried)) std::erase_if(from, tried);
+  if (from.empty()) return nullptr;
+  if (from.size() == 1) return from[0];
+  std::uniform_int_distribution<std::size_t> first(0, from.size() - 1), second(0, from.size() - 2);
+  const auto i = first(s.chance), j = second(s.chance);
+  Node *a = from[i], *b = from[j < i ? j : j + 1];
+  return load(*b, now) < load(*a, now) ? b : a;
+}
+
+// The build on trial gets a req while the exposure lasts; the others go to the newest build that is not on
+// trial, once it has half of those nodes.
+Node *Guard::choose(const Req &rq, Ns now) {
+  std::vector<Node *> trial, main;
+  int newest = 0;
+  for (auto *n : s.ready) {
+    if (!onTrial(n->listing.build))
+      main.push_back(n), newest = std::max(newest, n->listing.build);
+    else if (trialOpen(rq, n->listing.build))
+      trial.push_back(n);
+  }
+  const auto older = [&](Node *n) { return n->listing.build < newest; };
+  if (2 * std::count_if(main.begin(), main.end(), older) <= static_cast<std::ptrdiff_t>(main.size()))
+    std::erase_if(main, older);
+  Node *m = twoChoices(main, rq, now), *t = twoChoices(trial, rq, now);
+  if (m == nullptr || t == nullptr) return m != nullptr ? m : t;
+  if (!rq.tries.empty()) return m; // a further try is no place for an experiment
+  return (t->inflight + 1) <= kTrialCrowd * (m->inflight + 1) * warmth(*t, now) ? t : m;
+}
+
+// ---- The three questions ----
+
+Step Guard::where(Req &rq, Ns now) {
+  if (rq.ended || rq.streaming || rq.out > 0) return {};
+  if (!rq.counted) {
+    rq.counted = true;
+    bookCredit(rq);
+    s.resendCredit = std::min(s.resendCredit + kResendShare, kResendBurst);
+  }
+  if (rq.deadline - now <= 2 * s.d.tick || (rq.tries.empty() && overloaded(rq))) return giveUp(rq, now);
+  if (auto *n = choose(rq, now)) return dispatch(rq, *n, now);
+  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  if (static_cast<double>(now - rq.taken) >= kHoldShare * static_cast<double>(route.objective))
+    return giveUp(rq, now);
+  return {Step::hold};
+}
+
+Step Guard::after(Req &rq, int tryNo, Outcome outcome, Ns took, bool settled, Ns now) {
+  auto &t = rq.tries[static_cast<std::size_t>(tryNo)];
+  if (!t.out) return {};
+  t.out = false;
+  t.mayHaveRun = !neverRan(outcome);
+  --rq.out;
+  --t.node->inflight;
+  --s.inflight;
+  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  health(*t.node, outcome, took, now);
+  if (!t.trial) learnLimit(route, outcome, took);
+  judge(rq, t, outcome, took, now);
+  if (outcome == Outcome::completed && s.d.rollout.noReturn && rq.key != 0) s.keyBuild[rq.key] = t.build;
+  if (settled) rq.ended = true;
+  if (rq.ended || rq.out > 0) return {};
+  if (!mayResend(rq, now)) return giveUp(rq, now);
+  auto *n = choose(rq, now);
+  if (n == nullptr) return giveUp(rq, now);
+  s.resendCredit -= 1;
+  return dispatch(rq, *n, now);
+}
+
+Ns Guard::wait(const Req &rq, Ns) const {
+  return rq.out > 0 ? 0 : kHoldLook;
+}
+
+Ns Guard::wait(Ns) const {
+  return kBeat;
+}
+
+Step Guard::dispatch(Req &rq, Node &n, Ns now) {
+  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  Try t;
+  t.node = &n;
+  t.sent = now;
+  t.build = n.listing.build;
+  t.zone = n.listing.zone;
+  t.cell = n.listing.cell;
+  t.trial = onTrial(t.build);
+  if (t.trial) creditFor(rq) -= 1;
+  // The last word is ours before the client's time is up, the tick's coarseness allowed for.
+  t.timeout = rq.deadline - now - 2 * s.d.tick;
+  const bool another = route.repeat != Repeat::nonRetriable && s.resendCredit >= 1 &&
+                       static_cast<int>(rq.tries.size()) + 1 < s.d.mostTries;
+  const double share = n.strikes > 0 ? kDoubt : kPatience;
+  if (another) t.timeout = std::min(t.timeout, static_cast<Ns>(share * static_cast<double>(route.objective)));
+  rq.tries.push_back(t);
+  ++rq.out;
+  ++n.inflight;
+  ++s.inflight;
+  const double span = static_cast<double>(s.d.fallSpan);
+  n.sentLately = n.sentLately * std::exp(-static_cast<double>(now - n.sentAt) / span) + 1;
+  n.sentAt = now;
+  if (warmth(n, now) >= 1) s.sends += 1;
+  return {Step::send, &n, t.timeout};
+}
+
+// ---- Further tries and final answers ----
+
+bool Guard::mayResend(const Req &rq, Ns now) const {
+  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  if (static_cast<int>(rq.tries.size()) >= s.d.mostTries || s.resendCredit < 1) return false;
+  if (rq.streaming || rq.deadline - now <= 4 * s.d.tick) return false;
+  const auto ran = std::find_if(rq.tries.begin(), rq.tries.end(), [](const Try &t) { return t.mayHaveRun; });
+  if (ran == rq.tries.end() || route.repeat == Repeat::retriable) return true;
+  return route.repeat == Repeat::deduped && now + s.d.tick <= ran->sent + route.dedupeWindow;
+}
+
+// A shed reply says that trying again is harmless.
+bool Guard::mayShed(const Req &rq) const {
+  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  if (route.repeat == Repeat::retriable) return true;
+  if (route.repeat == Repeat::deduped && route.group == Group::all) return true;
+  return std::none_of(rq.tries.begin(), rq.tries.end(), [](const Try &t) { return t.mayHaveRun; });
+}
+
+Step Guard::giveUp(Req &rq, Ns) {
+  rq.ended = true;
+  if (!mayShed(rq)) return {Step::fail};
+  const auto pause = s.d.retryAfter ? std::min<Ns>(s.d.maxRetryAfter, static_cast<Ns>(2 * s.latency)) : 0;
+  return {Step::shed, nullptr, 0, pause};
+}
+
+// Low importance is shed first: a route may fill only its share of the limit.
+bool Guard::overloaded(const Req &rq) const {
+  double most = 0;
+  for (const auto &r : s.d.routes)
+    most = std::max(most, r.importance);
+  const double worth = s.d.routes[static_cast<std::size_t>(rq.route)].importance / most;
+  return s.inflight >= s.limit * (kLowLevel + (1 - kLowLevel) * worth);
+}
+
+// The limit of tries out grows while outcomes are in time and shrinks with each late one, but never below
+// what the nodes could hold by one each.
+void Guard::learnLimit(const Route &route, Outcome outcome, Ns took) {
+  if (outcome != Outcome::completed && outcome != Outcome::timedOut && outcome != Outcome::turnedAway) return;
+  const bool late = outcome != Outcome::completed || took > route.objective;
+  const double held = s.inflight + 1;
+  if (late)
+    s.limit = std::max(std::min(s.limit, 2 * held) - kLimitDown, static_cast<double>(s.ready.size()));
+  else if (2 * held > s.limit)
+    s.limit += kLimitUp;
+}
+
+void Guard::health(Node &n, Outcome outcome, Ns took, Ns now) {
+  if (outcome == Outcome::cancelled || outcome == Outcome::notSent) return;
+  const bool failed = hardFailure(outcome);
+  if (outcome == Outcome::completed || outcome == Outcome::timedOut) {
+    const double time = static_cast<double>(outcome == Outcome::timedOut ? 2 * took : took);
+    n.latency = n.latency > 0 ? n.latency + kLearn * (time - n.latency) : time;
+    n.latencyAt = now;
+    s.latency = s.latency > 0 ? s.latency + kLearn / 4 * (time - s.latency) : time;
+  }
+  n.failShare += kLearn * ((failed ? 1 : 0) - n.failShare);
+  n.strikes = failed || outcome == Outcome::turnedAway ? n.strikes + 1 : 0;
+  if (n.strikes == 0 && n.failShare < kFailRest / 2) n.rests = 0;
+  if (n.restUntil > now || (n.strikes < kStrikes && n.failShare < kFailRest)) return;
+  // Guards against nodes that hang, fail or are out of reach, whatever the cause; the rest ends by itself and
+  // the next tries tell. It could hurt where a fleet is merely overloaded, hence the half rule in
+  // twoChoices().
+  n.restUntil = now + std::min(kRest << std::min(n.rests, 10), kMostRest);
+  out.lines.push_back(line("node rests %lld ms: %d strikes, fail share %.2f",
+                           static_cast<long long>((n.restUntil - now) / kMs), n.strikes, n.failShare));
+  ++n.rests;
+  n.strikes = kStrikes - 1;
+  n.failShare = kFailRest / 2;
+}
+
+// ---- The mechanism ----
+
+// Which outcomes are evidence: not those of young nodes, nor those that say nothing of the software.
+void Guard::judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now) {
+  if (!s.haveNews || t.build > s.news.build) return;
+  const auto objective = s.d.routes[static_cast<std::size_t>(rq.route)].objective;
+  if (outcome == Outcome::timedOut && 2 * took < objective * kDoubt) return; // the client left it no time
+  if (outcome != Outcome::completed && (!hardFailure(outcome) || outcome == Outcome::unreachable)) return;
+  if (t.node->listing.start != 0 && now - t.node->listing.start < kYoung) return;
+  const bool failed = outcome != Outcome::completed || took > objective;
+  if (t.build == s.news.build) return evidence(failed);
+  s.earlierSeen = s.earlierSeen * (1 - 1 / kEarlierMemory) + 1;
+  s.earlierFailed = s.earlierFailed * (1 - 1 / kEarlierMemory) + (failed ? 1 : 0);
+}
+
+void Guard::evidence(bool failed) {
+  if (s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn) return;
+  const double share = s.earlierFailed / std::max(s.earlierSeen, 1.0);
+  const double p0 =
+      s.earlierSeen < kEarlierEnough ? kEarlierFirst : std::clamp(share, kEarlierLeast, kEarlierMost);
+  const double p1 = 2 * p0 + 0.02;
+  s.ratio += failed ? std::log(p1 / p0) : std::log((1 - p1) / (1 - p0));
+  s.unreported += 1;
+  if (std::abs(s.ratio) >= kStep) report();
+}
+
+int Guard::fusers() const {
+  const auto &r = s.d.rollout;
+  const int most = std::max({r.votesToGo, r.noesNeeded, r.stoppers, kLeastFusers});
+  return s.d.peers ? std::min(most, s.d.marshals) : s.d.marshals;
+}
+
+void Guard::report() {
+  std::vector<std::uint8_t> bytes{kNoteVersion, static_cast<std::uint8_t>(s.news.stage)};
+  put(bytes, static_cast<std::uint32_t>(s.news.build), 4);
+  put(bytes, static_cast<std::uint32_t>(std::lround(s.ratio * 1e4)), 4);
+  put(bytes, static_cast<std::uint32_t>(s.unreported), 4);
+  for (int to = 0; s.d.peers && to < fusers(); ++to)
+    if (to != s.d.me) out.notes.push_back({to, bytes});
+  if (s.d.me < fusers()) fuse(s.ratio, s.unreported);
+  s.ratio = s.unreported = 0;
+}
+
+void Guard::note(int from, const std::uint8_t *bytes, std::size_t n, Ns) {
+  if (n != kNoteSize || bytes[0] != kNoteVersion || from == s.d.me || s.d.me >= fusers() || !s.haveNews)
+    return;
+  const auto build = get(bytes + 2, 4), move = get(bytes + 6, 4), outcomes = get(bytes + 10, 4);
+  if (build != static_cast<std::uint32_t>(s.news.build)) return;
+  fuse(static_cast<std::int32_t>(move) / 1e4, outcomes);
+}
+
+double Guard::threshold() const {
+  return kThreshold + std::log(std::max(s.stageOutcomes, 1.0));
+}
+
+void Guard::fuse(double move, double outcomes) {
+  s.y = std::max(s.y, 0.0) + move;
+  s.stageOutcomes += outcomes;
+  if (s.against || s.y < threshold()) return;
+  s.against = true;
+  out.lines.push_back(line("build %d is judged bad: y %.1f of %.1f, %.0f outcomes this stage", s.news.build,
+                           s.y, threshold(), s.stageOutcomes));
+}
+
+Ns Guard::newestStart() const {
+  Ns newest = -1;
+  for (const auto *n : s.ready)
+    if (n->listing.build == s.news.build) newest = std::max(newest, n->listing.start);
+  return newest;
+}
+
+Verdict Guard::verdict(Ns now) const {
+  const auto phase = s.news.phase;
+  if (!s.haveNews || s.d.me >= fusers() || phase == Phase::goingBack || phase == Phase::withdrawn)
+    return Verdict::withdraw;
+  if (s.against) return Verdict::back;
+  if (phase == Phase::released) return Verdict::withdraw;
+  const bool doubt = s.y > kHoldLevel * threshold();
+  if (s.d.rollout.control == Control::clock) return doubt ? Verdict::hold : Verdict::withdraw;
+  const auto newest = newestStart();
+  return !doubt && newest >= 0 && now - newest >= kOnAfter ? Verdict::on : Verdict::withdraw;
+}
+
+void Guard::castVote(Ns now) {
+  if (s.voteOut || now < s.voteRetry) return;
+  const Vote want{verdict(now), s.news.build, s.news.stage};
+  const bool standing = s.voted.verdict != Verdict::withdraw && s.voted.build == want.build;
+  const bool same = want.verdict == s.voted.verdict && want.build == s.voted.build &&
+                    (want.stage == s.voted.stage || want.verdict == Verdict::back);
+  if (want.verdict == Verdict::withdraw && (!standing || s.news.phase != Phase::trial)) return;
+  if (same && now < s.voteNext) return;
+  if (!same)
+    out.lines.push_back(line("votes %s on build %d stage %d: y %.1f of %.1f, %.0f outcomes",
+                             word(want.verdict), want.build, want.stage, s.y, threshold(), s.stageOutcomes));
+  out.votes.push_back(want);
+  s.voted = want;
+  s.voteOut = true;
+  s.voteNext = now + std::min(kRenew, s.d.rollout.voteStands / 2);
+}
+
+// A vote that was not taken is sent again soon; one with no answer may count, and is sent again just as soon.
+void Guard::voteAnswered(Reply reply, Ns now) {
+  s.voteOut = false;
+  if (reply == Reply::ok) return;
+  s.voteNext = now;
+  s.voteRetry = now + static_cast<Ns>((reply == Reply::timedOut ? 0.1 : 0.5 + uniform()) * 1e9);
+}
+
+void Guard::news(const News &news, Ns) {
+  const bool changed =
+      !s.haveNews || news.build != s.news.build || news.stage != s.news.stage || news.phase != s.news.phase;
+  if (!s.haveNews || news.build != s.news.build) {
+    s.ratio = s.unreported = s.y = s.stageOutcomes = 0;
+    s.against = false;
+  } else if (news.stage != s.news.stage) {
+    s.stageOutcomes = 0;
+  }
+  s.news = news;
+  s.haveNews = true;
+  constexpr const char *kPhases[] = {"on trial", "going back", "released", "withdrawn"};
+  if (changed)
+    out.lines.push_back(line("build %d %s, stage %d, cap %.3f", news.build,
+                             kPhases[static_cast<int>(news.phase)], news.stage, news.cap));
+}
+
+void Guard::flagged(Node &, int, Ns, Ns) {}
+
+void Guard::tallied(int, int, std::uint32_t, std::uint32_t, Ns, Ns) {}
+
+// ---- Facts ----
+
+Node &Guard::newNode() {
+  return s.nodes.emplace_back();
+}
+
+void Guard::listed(Node &n, const Listing &listing, Ns) {
+  // The same id with another build or start is another node to us.
+  if (listing.build != n.listing.build || listing.start != n.listing.start) {
+    n.latency = n.failShare = n.reported = 0;
+    n.strikes = n.rests = 0;
+    n.restUntil = 0;
+  }
+  n.listing = listing;
+  n.named = listing.mode == Mode::ready;
+  n.inWhole = true;
+}
+
+void Guard::listComplete(bool whole, bool saved, Ns) {
+  s.ready.clear();
+  for (auto &n : s.nodes) {
+    if (whole && !n.inWhole) n.named = false;
+    n.inWhole = false;
+    if (n.named) s.ready.push_back(&n);
+  }
+  if (!saved) s.listCallOpen = true, s.listCallAt = -1; // answered: the subscription stands
+}
+
+// Failures bear no mark of their call, and a new subscription may always be asked for.
+void Guard::listFailed(Ns now) {
+  s.listCallOpen = false;
+  s.listCallAt = now + static_cast<Ns>((0.5 + uniform()) * static_cast<double>(kListRetry));
+}
+
+void Guard::loadReport(Node &n, const std::vector<float> &values, Ns now) {
+  for (std::size_t i = 0; i < std::min(values.size(), s.d.loadFields.size()); ++i) {
+    if (!std::isfinite(values[i])) return;
+    if (s.d.loadFields[i] != LoadField::waiting && s.d.loadFields[i] != LoadField::active) continue;
+    n.reported = std::max(0.0, static_cast<double>(values[i]));
+    n.reportedAt = now;
+    if (s.d.loadFields[i] == LoadField::waiting) return; // says more than what is held
+  }
+}
+
+void Guard::probed(Node &, bool, Ns) {}
+
+void Guard::streaming(Req &rq, int, Ns) {
+  rq.streaming = true;
+}
+
+void Guard::gone(Req &rq) {
+  rq.ended = true;
+}
+
+// What a warm node gets from this marshal, the measure of what a cold one may get.
+void Guard::learnRate(Ns now) {
+  const Ns span = now - s.rateAt;
+  if (span < kSec / 2) return;
+  const auto warm =
+      std::count_if(s.ready.begin(), s.ready.end(), [&](Node *n) { return warmth(*n, now) >= 1; });
+  const double nodes = static_cast<double>(warm);
+  if (warm > 0) {
+    const double rate = s.sends / nodes * 1e9 / static_cast<double>(span);
+    s.warmRate = s.warmRate > 0 ? s.warmRate + kLearn * (rate - s.warmRate) : rate;
+  }
+  s.sends = 0;
+  s.rateAt = now;
+}
+
+Due Guard::due(Ns now) {
+  learnRate(now);
+  castVote(now);
+  if (s.d.listAsked && !s.listCallOpen && now >= s.listCallAt) {
+    out.watchList = true;
+    s.listCallOpen = true;
+    s.listCallAt = now + kListWait;
+  } else if (s.d.listAsked && s.listCallOpen && s.listCallAt > 0 && now >= s.listCallAt) {
+    s.listCallOpen = false; // no answer at all: ask again
+  }
+  const bool shedding = s.inflight >= s.limit * kLowLevel;
+  if (shedding != s.shedding)
+    out.lines.push_back(
+        line("%s low importance: %d out, limit %.0f", shedding ? "sheds" : "takes", s.inflight, s.limit));
+  s.shedding = shedding;
+  return std::exchange(out, {});
+}
+
+} // namespace myrtlehead
--- /dev/null
+++ b/src/guard/guard.h
@@ -0,0 +1,171 @@
+// The guard's interface: the door of the decision module. An instance is asked three things - where to send a
+// req, what to do after an outcome, how long to wait - and is told facts by plain calls. What falls due of
+// itself (votes, notes, probes, list calls, log lines) comes back from due(). No wire is known here.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace myrtlehead {
+
+using Ns = std::int64_t;
+constexpr Ns kMs = 1'000'000, kSec = 1'000'000'000;
+
+enum class Repeat { retriable, deduped, nonRetriable };
+enum class Group { all, zone, cell };
+enum class Control { anyVoice, byCount, clock };
+enum class LoadField { active, waiting, cpu, other };
+
+struct Route {
+  Ns objective = 0;
+  Ns dedupeWindow = 0;
+  double importance = 1;
+  Repeat repeat = Repeat::retriable;
+  Group group = Group::all;
+};
+
+struct Rollout {
+  Control control = Control::anyVoice;
+  std::vector<double> caps;
+  double free = 0;
+  bool capByRoute = false, noReturn = false;
+  int guardedStages = 0;
+  int votesToGo = 0, noesNeeded = 1, stoppers = 0;
+  Ns voteStands = 0;
+  double voteAllowance = 0;
+};
+
+struct Deployment {
+  int me = 0, marshals = 1, zone = 0;
+  std::vector<Route> routes;
+  std::vector<LoadField> loadFields;
+  std::vector<double> tenantRps; // reqs a second inside each tenant's share, over all marshals
+  double overShareWorth = 1;
+  Rollout rollout;
+  Ns tick = 0;
+  Ns coldFor = 0, fallSpan = 0, maxRetryAfter = 0;
+  double coldFrom = 1, fallMultiple = 1;
+  double crossZonePrice = 0, probePrice = 0;
+  int mostTries = 1;
+  bool listAsked = false, pullLoad = false, peers = false, probes = false, secondCopies = false;
+  bool cancel = false, retryAfter = false;
+};
+
+struct Node;
+struct Req;
+
+enum class Outcome { completed, errored, turnedAway, timedOut, unreachable, reset, cancelled, notSent };
+enum class Mode { ready, draining, gone };
+enum class Phase { trial, goingBack, released, withdrawn };
+enum class Reply { ok, moot, full, error, timedOut };
+enum class Verdict { withdraw, on, hold, back };
+
+struct Listing {
+  int build = 0, zone = 0, cell = 0, model = 0;
+  Ns start = 0; // 0: long ago
+  Mode mode = Mode::ready;
+  double size = 1;
+};
+
+struct News {
+  int build = 0, stage = 0;
+  Phase phase = Phase::trial;
+  double cap = 0;
+};
+
+// What to do with a req now. hold: nothing yet, ask again after wait().
+struct Step {
+  enum What { send, hold, shed, fail, nothing } what = nothing;
+  Node *node = nullptr;
+  Ns timeout = 0;    // send: give the try up after this
+  Ns retryAfter = 0; // shed: time for the client to come back, 0 for none
+};
+
+struct Vote {
+  Verdict verdict;
+  int build, stage;
+};
+
+struct Note {
+  int to; // number of the marshal; -1: every other one
+  std::vector<std::uint8_t> bytes;
+};
+
+struct Due {
+  std::vector<Vote> votes;
+  std::vector<Note> notes;
+  std::vector<Node *> probes;
+  std::vector<std::string> lines;
+  bool watchList = false;
+};
+
+} // namespace myrtlehead
+
+#include "guard/state.h"
+
+namespace myrtlehead {
+
+class Guard {
+public:
+  Guard(Deployment deployment, std::uint64_t seed, Ns now);
+
+  // The three questions.
+  Step where(Req &rq, Ns now);
+  Step after(Req &rq, int tryNo, Outcome outcome, Ns took, bool settled, Ns now);
+  Ns wait(const Req &rq, Ns now) const; // until a held req should be asked about again
+  Ns wait(Ns now) const;                // until due() should be asked again
+
+  // Facts.
+  Node &newNode();
+  void listed(Node &node, const Listing &listing, Ns now);
+  void listComplete(bool whole, bool saved, Ns now); // a whole list unnames every node not in it
+  void listFailed(Ns now);
+  void news(const News &news, Ns now);
+  void voteAnswered(Reply reply, Ns now);
+  void note(int from, const std::uint8_t *bytes, std::size_t n, Ns now);
+  void flagged(Node &node, int route, Ns sentAgo, Ns now);
+  void tallied(int build, int route, std::uint32_t bad, std::uint32_t all, Ns meanTime, Ns now);
+  void loadReport(Node &node, const std::vector<float> &values, Ns now);
+  void probed(Node &node, bool passed, Ns now);
+  void streaming(Req &rq, int tryNo, Ns now);
+  void gone(Req &rq); // the client has left
+
+  Due due(Ns now);
+
+  Instance s; // open to tests: they build the state that they need
+private:
+  bool onTrial(int build) const;
+  double capOf(int build) const;
+  bool trialOpen(const Req &rq, int build) const;
+  double &creditFor(const Req &rq);
+  void bookCredit(const Req &rq);
+  double warmth(const Node &n, Ns now) const;
+  bool coldRoom(const Node &n, Ns now) const;
+  double load(const Node &n, Ns now) const;
+  bool mayTake(const Req &rq, const Node &n) const;
+  Node *twoChoices(std::vector<Node *> &from, const Req &rq, Ns now);
+  Node *choose(const Req &rq, Ns now);
+  bool mayShed(const Req &rq) const;
+  bool mayResend(const Req &rq, Ns now) const;
+  bool overloaded(const Req &rq) const;
+  Step giveUp(Req &rq, Ns now);
+  Step dispatch(Req &rq, Node &n, Ns now);
+  void health(Node &n, Outcome outcome, Ns took, Ns now);
+  void learnLimit(const Route &route, Outcome outcome, Ns took);
+  void judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now);
+  void evidence(bool failed);
+  void report();
+  void fuse(double move, double outcomes);
+  int fusers() const;
+  double threshold() const;
+  Ns newestStart() const;
+  Verdict verdict(Ns now) const;
+  void castVote(Ns now);
+  void learnRate(Ns now);
+  double uniform();
+
+  Due out;
+};
+
+} // namespace myrtlehead
--- /dev/null
+++ b/src/guard/state.h
@@ -0,0 +1,95 @@
+// What one instance remembers, grouped by how long it lives: for one upstream try, one req, one node, the
+// instance. Plain values; objects point to each other. `door` is the id by which the adapter knows a thing.
+#pragma once
+
+#include "guard/guard.h"
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace myrtlehead {
+
+struct Try {
+  Node *node = nullptr;
+  Ns sent = 0, timeout = 0;
+  int build = 0, zone = 0, cell = 0; // as listed when it was sent
+  bool trial = false;
+  bool out = true;
+  bool mayHaveRun = true; // until an outcome proves that it never ran
+  bool given = false;     // called off by us
+};
+
+struct Req {
+  std::uint64_t door = 0;
+  int route = 0, tenant = 0;
+  std::uint64_t key = 0;
+  Ns taken = 0, deadline = 0;
+  bool clientRepeat = false;
+  std::vector<Try> tries;
+  bool counted = false; // its exposure credit is booked
+  bool ended = false;   // the client has its final answer, or has left
+  bool streaming = false;
+  int out = 0; // tries still out
+};
+
+struct Node {
+  std::uint64_t door = 0;
+  Listing listing;
+  bool named = false;   // in the latest list, and ready
+  bool inWhole = false; // met while a whole list is being read
+  int inflight = 0;     // own tries out
+  double latency = 0;   // mean time of own tries here, ns
+  Ns latencyAt = 0;
+  double failShare = 0;  // recent share of own tries here that failed
+  int strikes = 0;       // hard failures in a row
+  int rests = 0;         // spells out of use in a row
+  Ns restUntil = 0;      // out of use until then
+  double sentLately = 0; // sends, decaying over the fall span
+  Ns sentAt = 0;
+  double reported = 0; // reqs waiting or held there, by its last report
+  Ns reportedAt = 0;
+};
+
+struct Instance {
+  Deployment d;
+  std::knuth_b chance;
+  std::deque<Node> nodes;    // in order of first listing
+  std::vector<Node *> ready; // in the same order
+
+  // The list.
+  Ns listCallAt = 0;
+  bool listCallOpen = false;
+
+  // The build on offer, and the exposure left to it, for the instance or by route.
+  News news;
+  bool haveNews = false;
+  std::vector<double> credit;
+  std::unordered_map<std::uint64_t, int>
+      keyBuild; // noReturn: the build that last answered a key; looked up only
+
+  // The mechanism: own log-likelihood ratio since the last report; the fuser's CUSUM.
+  double ratio = 0, unreported = 0;
+  double y = 0, stageOutcomes = 0;
+  double earlierFailed = 0, earlierSeen = 0; // the earlier build's outcomes, decaying
+  bool against = false;                      // y has reached the threshold for this build
+
+  // The vote.
+  Vote voted{Verdict::withdraw, 0, 0}; // the latest sent
+  bool voteOut = false;                // its answer is still due
+  Ns voteNext = 0;                     // no earlier vote unless the verdict changes
+  Ns voteRetry = 0;                    // none at all before this
+
+  // Load, and the rates that bound it.
+  int inflight = 0;
+  double latency = 0; // mean time of own tries, ns
+  double limit = 0;   // of own tries out
+  bool shedding = false;
+  double resendCredit = 0;
+  double warmRate = 0; // sends a second that a warm node gets from this marshal
+  double sends = 0;    // since rateAt
+  Ns rateAt = 0;
+};
+
+} // namespace myrtlehead
--- /dev/null
+++ b/src/wire/codec.h
@@ -0,0 +1,130 @@
+// Codec of the simulator's wire: bounds-checked reading of batches, writing of replies, and the start
+// settings decoded into a Deployment. Wire names and codes stay in this folder.
+#pragma once
+
+#include "guard/guard.h"
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace myrtlehead::wire {
+
+// Malformed input; what() says what and where.
+struct WireError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// Codes of the records that come in and that go out.
+namespace in {
+enum Code : std::uint8_t {
+  spawn = 16,
+  directoryUpdate,
+  newRequest,
+  begun,
+  done,
+  gone,
+  timer,
+  probeDone,
+  peer,
+  killed,
+  promotion,
+  sampled,
+  returned,
+  directory,
+  on
+};
+}
+namespace go {
+enum Code : std::uint8_t {
+  touch = 16,
+  opinion,
+  exception,
+  withdraw,
+  submitTo,
+  writeLog,
+  getList,
+  as,
+  shutIdle,
+  writePeer,
+  busy,
+  wakeAt,
+  watch,
+  error
+};
+}
+
+using NodeId = std::uint64_t; // address and port
+
+// Reads big-endian fields of one frame; never past its end.
+class Reader {
+public:
+  Reader(const std::uint8_t *data, std::size_t size) : data_(data), size_(size) {}
+  std::uint8_t u8() { return static_cast<std::uint8_t>(number(1)); }
+  std::uint16_t u16() { return static_cast<std::uint16_t>(number(2)); }
+  std::uint32_t u32() { return static_cast<std::uint32_t>(number(4)); }
+  std::uint64_t u64() { return number(8); }
+  float f32();
+  NodeId node() { return number(6); }
+  const std::uint8_t *bytes(std::size_t n);
+  std::size_t at() const { return at_; }
+  std::size_t left() const { return size_ - at_; }
+  [[noreturn]] void fail(const std::string &what) const;
+
+private:
+  std::uint64_t number(std::size_t n);
+  const std::uint8_t *data_;
+  std::size_t size_, at_ = 0;
+};
+
+struct BatchHead {
+  Ns now = 0;
+  std::uint32_t records = 0, number = 0;
+};
+BatchHead readHead(Reader &in);
+
+// The records of one instance in one reply.
+class Writer {
+public:
+  void submit(std::uint64_t req, Ns timeout, NodeId node);
+  void withdraw(std::uint64_t req, std::uint8_t tryNo);
+  void busy(std::uint64_t req, Ns pause);
+  void error(std::uint64_t req);
+  void wake(Ns in, std::uint64_t mark);
+  void touch(NodeId node);
+  void watch();
+  void peer(int to, const std::vector<std::uint8_t> &bytes);
+  void opinion(const Vote &vote);
+  void log(std::string_view text);
+  void exception(std::string_view text);
+
+private:
+  friend class Frame;
+  void record(go::Code code);
+  void number(std::uint64_t v, std::size_t n);
+  void text(std::string_view s);
+  std::vector<std::uint8_t> buf_;
+  std::uint32_t records_ = 0;
+};
+
+// One reply: the records of each instance behind its `As`.
+class Frame {
+public:
+  void begin(std::uint32_t batch);
+  void add(std::uint32_t who, Writer &records); // empties them
+  const std::vector<std::uint8_t> &bytes();     // complete, header included
+
+private:
+  std::vector<std::uint8_t> buf_;
+  std::uint32_t records_ = 0, batch_ = 0;
+};
+
+Outcome outcomeOf(std::uint8_t code, const Reader &in);
+Reply replyOf(std::uint8_t code, const Reader &in);
+Phase phaseOf(std::uint8_t code, const Reader &in);
+Listing readListing(Reader &in, NodeId &node);
+Deployment readDeployment(std::string_view text);
+
+} // namespace myrtlehead::wire
--- /dev/null
+++ b/tests/mechanism_test.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
