--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -26,25 +26,29 @@
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
 
 // Routing and health.
-constexpr Ns kBeat = 50 * kMs;      // how often due() looks round
-constexpr double kLearn = 0.1;      // weight of the newest sample in a running mean
-constexpr Ns kForget = 5 * kSec;    // a node's latency is half forgiven after this without news of it
-constexpr double kFailWeight = 10;  // a node that fails always looks this much more loaded
-constexpr double kCrossWeight = 10; // per unit of cross-zone price, likewise
-constexpr double kTrialCrowd = 4; // a trial node this many times as crowded as the other pick is passed over
-constexpr int kStrikes = 3;       // hard failures in a row that put a node out of use
-constexpr double kFailRest = 0.5; // or this share of failures
+constexpr Ns kBeat = 50 * kMs;       // how often due() looks round
+constexpr double kSlowFrom = 1.3;    // times the mean latency, before a node counts as slow
+constexpr double kSilence = 5;       // times the mean latency, before a node with tries out counts as silent
+constexpr double kLearn = 0.1;       // weight of the newest sample in a running mean
+constexpr Ns kForget = 5 * kSec;     // a node's latency is half forgiven after this without news of it
+constexpr double kFailWeight = 10;   // a node that fails always looks this much more loaded
+constexpr double kCrossWeight = 10;  // per unit of cross-zone price, likewise
+constexpr double kTrialCrowd = 1.25; // the trial's nodes may be this many times as crowded as the others
+constexpr int kStrikes = 3;          // hard failures in a row that put a node out of use
+constexpr double kFailRest = 0.5;    // or this share of failures
 constexpr Ns kRest = kSec / 2, kMostRest = 8 * kSec; // first spell out of use, doubling
 constexpr Ns kReportLife = kSec;                     // an older load report says nothing
-constexpr double kPatience = 0.8; // share of the objective that a try may take while another may follow
-constexpr double kDoubt = 0.4;    // the same at a node that has just failed
+constexpr double kDoubt = 0.5; // share of the objective that a try may take at a node that has just failed
 constexpr double kResendShare = 0.2, kResendBurst = 10; // further tries, as a share of reqs taken
 constexpr double kHoldShare = 0.5; // of the objective that a req is held for want of a node
 constexpr Ns kHoldLook = 20 * kMs;
-constexpr double kColdBudget = 0.6;                // share of the cold rule's budget that we plan to use
-constexpr double kColdLeast = 2;                   // sends to a cold node in a fall span, whatever the budget
-constexpr double kLimitUp = 0.1, kLimitDown = 0.6; // rests where one outcome in seven is late
-constexpr double kLowLevel = 0.75;                 // share of the limit open to the least important route
+constexpr double kColdBudget = 0.6; // share of the cold rule's budget that we plan to use
+constexpr double kColdLeast = 2;    // sends to a cold node in a fall span, whatever the budget
+constexpr double kLatest = 1.5;     // most that one outcome says, as a part of its objective
+constexpr double kShedFrom =
+    0.45; // mean part of the objective used up, from which the least important is shed
+constexpr double kShedWorth = 0.3; // added for the most important route
+constexpr double kShedOver = 0.3;  // from none to all
 constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs;
 
 constexpr std::uint8_t kNoteVersion = 1;
@@ -89,7 +93,6 @@
   // What the last life of this marshal sent to a trial is unknown, so no free try is assumed left.
   s.credit.assign(s.d.rollout.capByRoute ? std::max<std::size_t>(s.d.routes.size(), 1) : 1, 0.0);
   s.resendCredit = kResendBurst;
-  s.limit = 1e6; // none until the first late outcome
   s.rateAt = now;
 }
 
@@ -153,15 +156,22 @@
   return sent + 1 <= std::max(budget, kColdLeast);
 }
 
-// Own load: tries out here, each by the time that tries here take; failing and far nodes look fuller.
+// Own load: tries out here and what the node last reported, dearer where tries take longer than elsewhere,
+// fail or cross zones. A node that is silent while it holds tries counts as failing.
 double Guard::load(const Node &n, Ns now) const {
   const double age = static_cast<double>(now - n.latencyAt) / static_cast<double>(kForget);
-  const double own = n.latency > 0 ? n.latency : s.latency;
-  const double time = std::max(s.latency + (own - s.latency) * std::exp2(-age), 1e6);
+  const double slow = s.latency > 0 ? std::max(n.latency / s.latency - kSlowFrom, 0.0) * std::exp2(-age) : 0;
   const bool fresh = n.reportedAt > 0 && now - n.reportedAt < kReportLife;
   const double far = n.listing.zone == s.d.zone ? 1 : 1 + kCrossWeight * s.d.crossZonePrice;
   const double queue = 1 + n.inflight + (fresh ? n.reported : 0);
-  return queue * time * far * (1 + kFailWeight * n.failShare) / warmth(n, now);
+  const double failing = n.failShare + (silent(n, now) ? 1 : 0);
+  return queue * (1 + slow) * far * (1 + kFailWeight * failing) / warmth(n, now);
+}
+
+// Guards against nodes that hang or lose their answers, before any try has timed out. Could harm where one
+// heavy req is all that a node holds: it is then only chosen less.
+bool Guard::silent(const Node &n, Ns now) const {
+  return n.inflight > 0 && static_cast<double>(now - n.quietSince) > kSilence * s.latency;
 }
 
 // A deduped req that may have run stays with the group that drops its repeats; a key that a build has
@@ -219,7 +229,19 @@
   Node *m = twoChoices(main, rq, now), *t = twoChoices(trial, rq, now);
   if (m == nullptr || t == nullptr) return m != nullptr ? m : t;
   if (!rq.tries.empty()) return m; // a further try is no place for an experiment
-  return (t->inflight + 1) <= kTrialCrowd * (m->inflight + 1) * warmth(*t, now) ? t : m;
+  // Guards the judging: past the others' crowding, late answers would speak of our traffic, not of the build.
+  return crowding(now, true) <= kTrialCrowd * crowding(now, false) ? t : m;
+}
+
+// Own tries out for each warm node of the build on trial, or of the others.
+double Guard::crowding(Ns now, bool trial) const {
+  double tries = 1, nodes = 0;
+  for (const auto *n : s.ready) {
+    if (onTrial(n->listing.build) != trial) continue;
+    tries += n->inflight;
+    nodes += warmth(*n, now);
+  }
+  return tries / nodes;
 }
 
 // ---- The three questions ----
@@ -231,7 +253,8 @@
     bookCredit(rq);
     s.resendCredit = std::min(s.resendCredit + kResendShare, kResendBurst);
   }
-  if (rq.deadline - now <= 2 * s.d.tick || (rq.tries.empty() && overloaded(rq))) return giveUp(rq, now);
+  if (rq.deadline - now <= 2 * s.d.tick || (rq.tries.empty() && uniform() < shedShare(rq)))
+    return giveUp(rq, now);
   if (auto *n = choose(rq, now)) return dispatch(rq, *n, now);
   const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
   if (static_cast<double>(now - rq.taken) >= kHoldShare * static_cast<double>(route.objective))
@@ -246,10 +269,11 @@
   t.mayHaveRun = !neverRan(outcome);
   --rq.out;
   --t.node->inflight;
+  t.node->quietSince = now;
   --s.inflight;
   const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
   health(*t.node, outcome, took, now);
-  if (!t.trial) learnLimit(route, outcome, took);
+  if (!t.trial) learnLateness(route, outcome, took);
   judge(rq, t, outcome, took, now);
   if (outcome == Outcome::completed && s.d.rollout.noReturn && rq.key != 0) s.keyBuild[rq.key] = t.build;
   if (settled) rq.ended = true;
@@ -283,11 +307,12 @@
   t.timeout = rq.deadline - now - 2 * s.d.tick;
   const bool another = route.repeat != Repeat::nonRetriable && s.resendCredit >= 1 &&
                        static_cast<int>(rq.tries.size()) + 1 < s.d.mostTries;
-  const double share = n.strikes > 0 ? kDoubt : kPatience;
-  if (another) t.timeout = std::min(t.timeout, static_cast<Ns>(share * static_cast<double>(route.objective)));
+  const bool doubtful = n.strikes > 0 || silent(n, now);
+  if (another && doubtful)
+    t.timeout = std::min(t.timeout, static_cast<Ns>(kDoubt * static_cast<double>(route.objective)));
   rq.tries.push_back(t);
   ++rq.out;
-  ++n.inflight;
+  if (n.inflight++ == 0) n.quietSince = now;
   ++s.inflight;
   const double span = static_cast<double>(s.d.fallSpan);
   n.sentLately = n.sentLately * std::exp(-static_cast<double>(now - n.sentAt) / span) + 1;
@@ -322,25 +347,21 @@
   return {Step::shed, nullptr, 0, pause};
 }
 
-// Low importance is shed first: a route may fill only its share of the limit.
-bool Guard::overloaded(const Req &rq) const {
+// The share of a route's reqs to shed: low importance first, and the more the nearer outcomes are to being
+// late.
+double Guard::shedShare(const Req &rq) const {
   double most = 0;
   for (const auto &r : s.d.routes)
     most = std::max(most, r.importance);
   const double worth = s.d.routes[static_cast<std::size_t>(rq.route)].importance / most;
-  return s.inflight >= s.limit * (kLowLevel + (1 - kLowLevel) * worth);
+  return std::clamp((s.lateness - kShedFrom - kShedWorth * worth) / kShedOver, 0.0, 1.0);
 }
 
-// The limit of tries out grows while outcomes are in time and shrinks with each late one, but never below
-// what the nodes could hold by one each.
-void Guard::learnLimit(const Route &route, Outcome outcome, Ns took) {
+void Guard::learnLateness(const Route &route, Outcome outcome, Ns took) {
   if (outcome != Outcome::completed && outcome != Outcome::timedOut && outcome != Outcome::turnedAway) return;
-  const bool late = outcome != Outcome::completed || took > route.objective;
-  const double held = s.inflight + 1;
-  if (late)
-    s.limit = std::max(std::min(s.limit, 2 * held) - kLimitDown, static_cast<double>(s.ready.size()));
-  else if (2 * held > s.limit)
-    s.limit += kLimitUp;
+  const double part = static_cast<double>(took) / static_cast<double>(route.objective);
+  const double late = outcome == Outcome::completed ? std::min(part, kLatest) : kLatest;
+  s.lateness += kLearn / 4 * (late - s.lateness);
 }
 
 void Guard::health(Node &n, Outcome outcome, Ns took, Ns now) {
@@ -575,10 +596,10 @@
   } else if (s.d.listAsked && s.listCallOpen && s.listCallAt > 0 && now >= s.listCallAt) {
     s.listCallOpen = false; // no answer at all: ask again
   }
-  const bool shedding = s.inflight >= s.limit * kLowLevel;
+  const bool shedding = s.lateness > kShedFrom + (s.shedding ? 0 : kShedWorth / 2);
   if (shedding != s.shedding)
-    out.lines.push_back(
-        line("%s low importance: %d out, limit %.0f", shedding ? "sheds" : "takes", s.inflight, s.limit));
+    out.lines.push_back(line("%s: outcomes use %.2f of their objectives, %d tries out",
+                             shedding ? "sheds by importance" : "sheds no more", s.lateness, s.inflight));
   s.shedding = shedding;
   return std::exchange(out, {});
 }
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -40,6 +40,7 @@
   bool named = false;   // in the latest list, and ready
   bool inWhole = false; // met while a whole list is being read
   int inflight = 0;     // own tries out
+  Ns quietSince = 0;    // no outcome from here since then, if tries are out
   double latency = 0;   // mean time of own tries here, ns
   Ns latencyAt = 0;
   double failShare = 0;  // recent share of own tries here that failed
@@ -83,8 +84,8 @@
 
   // Load, and the rates that bound it.
   int inflight = 0;
-  double latency = 0; // mean time of own tries, ns
-  double limit = 0;   // of own tries out
+  double latency = 0;  // mean time of own tries, ns
+  double lateness = 0; // mean part of their objectives that outcomes use up
   bool shedding = false;
   double resendCredit = 0;
   double warmRate = 0; // sends a second that a warm node gets from this marshal
