Shed a share that follows lateness as an integral and fades without outcomes

Cause: shedding by the mean lateness alone held on to its figure once few outcomes came, and fed itself. It answers overload of any cause; it could harm where one slow route alone is late.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -45,10 +45,12 @@
 constexpr double kColdBudget = 0.6; // share of the cold rule's budget that we plan to use
 constexpr double kColdLeast = 2;    // sends to a cold node in a fall span, whatever the budget
 constexpr double kLatest = 1.5;     // most that one outcome says, as a part of its objective
-constexpr double kShedFrom =
-    0.45; // mean part of the objective used up, from which the least important is shed
-constexpr double kShedWorth = 0.3; // added for the most important route
-constexpr double kShedOver = 0.3;  // from none to all
+constexpr double kShedFrom = 0.5;   // mean part of the objective used up, above which more and more is shed
+constexpr double kShedGain = 1;     // change of the share shed in a second, for each unit above
+constexpr double kShedMost = 0.8;   // some are always let in, to tell when the trouble is over
+constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
+constexpr double kShedSay = 0.05;
+constexpr double kLateFade = 0.5; // a second
 constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs;
 
 constexpr std::uint8_t kNoteVersion = 1;
@@ -93,7 +95,7 @@
   // What the last life of this marshal sent to a trial is unknown, so no free try is assumed left.
   s.credit.assign(s.d.rollout.capByRoute ? std::max<std::size_t>(s.d.routes.size(), 1) : 1, 0.0);
   s.resendCredit = kResendBurst;
-  s.rateAt = now;
+  s.rateAt = s.shedAt = now;
 }
 
 double Guard::uniform() {
@@ -347,14 +349,28 @@
   return {Step::shed, nullptr, 0, pause};
 }
 
-// The share of a route's reqs to shed: low importance first, and the more the nearer outcomes are to being
-// late.
+// The share of a route's reqs to shed: the share that the fleet can't bear, low importance first.
 double Guard::shedShare(const Req &rq) const {
+  if (s.shed <= 0) return 0;
   double most = 0;
   for (const auto &r : s.d.routes)
     most = std::max(most, r.importance);
   const double worth = s.d.routes[static_cast<std::size_t>(rq.route)].importance / most;
-  return std::clamp((s.lateness - kShedFrom - kShedWorth * worth) / kShedOver, 0.0, 1.0);
+  return std::pow(s.shed, kShedLow + (kShedHigh - kShedLow) * worth);
+}
+
+// Guards against overload, whatever the cause: the share shed follows how much of their objectives outcomes
+// use. It forgets when no outcomes come, so that shedding can't feed on itself. Could harm where one slow
+// route alone is late.
+void Guard::learnShed(Ns now) {
+  const double beat = static_cast<double>(now - s.shedAt) / static_cast<double>(kSec);
+  s.shedAt = now;
+  s.lateness -= s.lateness * std::min(1.0, kLateFade * beat);
+  s.shed = std::clamp(s.shed + kShedGain * (s.lateness - kShedFrom) * beat, 0.0, kShedMost);
+  if (s.shedding ? s.shed > 0 : s.shed < kShedSay) return;
+  s.shedding = !s.shedding;
+  out.lines.push_back(line("%s: outcomes use %.2f of their objectives, %d tries out",
+                           s.shedding ? "sheds by importance" : "sheds no more", s.lateness, s.inflight));
 }
 
 void Guard::learnLateness(const Route &route, Outcome outcome, Ns took) {
@@ -588,6 +604,7 @@
 
 Due Guard::due(Ns now) {
   learnRate(now);
+  learnShed(now);
   castVote(now);
   if (s.d.listAsked && !s.listCallOpen && now >= s.listCallAt) {
     out.watchList = true;
@@ -596,11 +613,6 @@
   } else if (s.d.listAsked && s.listCallOpen && s.listCallAt > 0 && now >= s.listCallAt) {
     s.listCallOpen = false; // no answer at all: ask again
   }
-  const bool shedding = s.lateness > kShedFrom + (s.shedding ? 0 : kShedWorth / 2);
-  if (shedding != s.shedding)
-    out.lines.push_back(line("%s: outcomes use %.2f of their objectives, %d tries out",
-                             shedding ? "sheds by importance" : "sheds no more", s.lateness, s.inflight));
-  s.shedding = shedding;
   return std::exchange(out, {});
 }
 
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -165,6 +165,7 @@
   Verdict verdict(Ns now) const;
   void castVote(Ns now);
   void learnRate(Ns now);
+  void learnShed(Ns now);
   double uniform();
 
   Due out;
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -86,6 +86,8 @@
   int inflight = 0;
   double latency = 0;  // mean time of own tries, ns
   double lateness = 0; // mean part of their objectives that outcomes use up
+  double shed = 0;     // share of reqs to shed
+  Ns shedAt = 0;
   bool shedding = false;
   double resendCredit = 0;
   double warmRate = 0; // sends a second that a warm node gets from this marshal
