Let a build released before this life be the measure, not the measured

Cause: with no earlier build, p0 stands at 0.02, so any busy spell had the running build judged bad. Its outcomes now set p0.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -22,7 +22,7 @@
 constexpr Ns kYoung = 5 * kSec;   // outcomes this soon after a node's start are no evidence
 constexpr Ns kOnAfter = 3 * kSec; // of quiet since the newest start, before a vote on
 constexpr Ns kRenew = 4 * kSec;
-constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.3;
+constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45;
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
 
 // Routing and health.
@@ -406,7 +406,8 @@
 
 // ---- The mechanism ----
 
-// Which outcomes are evidence: not those of young nodes, nor those that say nothing of the software.
+// Which outcomes are evidence: not those of young nodes, nor those that say nothing of the software. A build
+// that was released before this life began has no earlier one to be measured against: it is the measure.
 void Guard::judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now) {
   if (!s.haveNews || t.build > s.news.build) return;
   const auto objective = s.d.routes[static_cast<std::size_t>(rq.route)].objective;
@@ -414,7 +415,7 @@
   if (outcome != Outcome::completed && (!hardFailure(outcome) || outcome == Outcome::unreachable)) return;
   if (t.node->listing.start != 0 && now - t.node->listing.start < kYoung) return;
   const bool failed = outcome != Outcome::completed || took > objective;
-  if (t.build == s.news.build) return evidence(failed);
+  if (t.build == s.news.build && s.tried) return evidence(failed);
   s.earlierSeen = s.earlierSeen * (1 - 1 / kEarlierMemory) + 1;
   s.earlierFailed = s.earlierFailed * (1 - 1 / kEarlierMemory) + (failed ? 1 : 0);
 }
@@ -424,7 +425,7 @@
   const double share = s.earlierFailed / std::max(s.earlierSeen, 1.0);
   const double p0 =
       s.earlierSeen < kEarlierEnough ? kEarlierFirst : std::clamp(share, kEarlierLeast, kEarlierMost);
-  const double p1 = 2 * p0 + 0.02;
+  const double p1 = 2 * p0 + 0.02; // under 1, as p0 is held
   s.ratio += failed ? std::log(p1 / p0) : std::log((1 - p1) / (1 - p0));
   s.unreported += 1;
   if (std::abs(s.ratio) >= kStep) report();
@@ -521,6 +522,8 @@
   } else if (news.stage != s.news.stage) {
     s.stageOutcomes = 0;
   }
+  const bool newer = !s.haveNews || news.build != s.news.build;
+  s.tried = news.phase != Phase::released || (!newer && s.tried);
   s.news = news;
   s.haveNews = true;
   constexpr const char *kPhases[] = {"on trial", "going back", "released", "withdrawn"};
