--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -35,6 +35,7 @@
 constexpr double kCrossWeight = 10;  // per unit of cross-zone price, likewise
 constexpr double kTrialCrowd = 1.25; // the trial's nodes may be this many times as crowded as the others
 constexpr int kStrikes = 3;          // hard failures in a row that put a node out of use
+constexpr double kFailApart = 2;     // and this many times the share that fails anywhere
 constexpr double kFailRest = 0.5;    // or this share of failures
 constexpr Ns kRest = kSec / 2, kMostRest = 8 * kSec; // first spell out of use, doubling
 constexpr Ns kReportLife = kSec;                     // an older load report says nothing
@@ -44,13 +45,14 @@
 constexpr Ns kHoldLook = 20 * kMs;
 constexpr double kColdBudget = 0.6; // share of the cold rule's budget that we plan to use
 constexpr double kColdLeast = 2;    // sends to a cold node in a fall span, whatever the budget
-constexpr double kLatest = 1.5;     // most that one outcome says, as a part of its objective
-constexpr double kShedFrom = 0.5;   // mean part of the objective used up, above which more and more is shed
-constexpr double kShedGain = 1;     // change of the share shed in a second, for each unit above
-constexpr double kShedMost = 0.8;   // some are always let in, to tell when the trouble is over
+constexpr double kLatest = 1.5;     // most that the time of tries says, as a part of their objectives
+constexpr double kFlowMemory = 0.5; // seconds over which tries out and outcomes are averaged
+constexpr double kShedFrom = 0.5;   // part of the objectives used up, above which reqs are shed
+constexpr double kShedNow = 0.5,
+                 kShedGain = 0.4; // share shed for each unit above, at once and more each second
+constexpr double kShedMost = 0.8; // some are always let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
 constexpr double kShedSay = 0.05;
-constexpr double kLateFade = 0.5; // a second
 constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs;
 
 constexpr std::uint8_t kNoteVersion = 1;
@@ -253,6 +255,9 @@
   if (!rq.counted) {
     rq.counted = true;
     bookCredit(rq);
+    const auto objective =
+        static_cast<double>(s.d.routes[static_cast<std::size_t>(rq.route)].objective) / 1e9;
+    s.objective = s.objective > 0 ? s.objective + kLearn / 4 * (objective - s.objective) : objective;
     s.resendCredit = std::min(s.resendCredit + kResendShare, kResendBurst);
   }
   if (rq.deadline - now <= 2 * s.d.tick || (rq.tries.empty() && uniform() < shedShare(rq)))
@@ -273,9 +278,8 @@
   --t.node->inflight;
   t.node->quietSince = now;
   --s.inflight;
-  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
   health(*t.node, outcome, took, now);
-  if (!t.trial) learnLateness(route, outcome, took);
+  s.finished += 1;
   judge(rq, t, outcome, took, now);
   if (outcome == Outcome::completed && s.d.rollout.noReturn && rq.key != 0) s.keyBuild[rq.key] = t.build;
   if (settled) rq.ended = true;
@@ -309,7 +313,7 @@
   t.timeout = rq.deadline - now - 2 * s.d.tick;
   const bool another = route.repeat != Repeat::nonRetriable && s.resendCredit >= 1 &&
                        static_cast<int>(rq.tries.size()) + 1 < s.d.mostTries;
-  const bool doubtful = n.strikes > 0 || silent(n, now);
+  const bool doubtful = (n.strikes > 0 || silent(n, now)) && s.shed <= 0;
   if (another && doubtful)
     t.timeout = std::min(t.timeout, static_cast<Ns>(kDoubt * static_cast<double>(route.objective)));
   rq.tries.push_back(t);
@@ -330,7 +334,9 @@
   if (static_cast<int>(rq.tries.size()) >= s.d.mostTries || s.resendCredit < 1) return false;
   if (rq.streaming || rq.deadline - now <= 4 * s.d.tick) return false;
   const auto ran = std::find_if(rq.tries.begin(), rq.tries.end(), [](const Try &t) { return t.mayHaveRun; });
-  if (ran == rq.tries.end() || route.repeat == Repeat::retriable) return true;
+  if (ran == rq.tries.end()) return true;
+  if (s.shed > 0) return false; // no work is done twice while some is turned away
+  if (route.repeat == Repeat::retriable) return true;
   return route.repeat == Repeat::deduped && now + s.d.tick <= ran->sent + route.dedupeWindow;
 }
 
@@ -359,27 +365,28 @@
   return std::pow(s.shed, kShedLow + (kShedHigh - kShedLow) * worth);
 }
 
-// Guards against overload, whatever the cause: the share shed follows how much of their objectives outcomes
-// use. It forgets when no outcomes come, so that shedding can't feed on itself. Could harm where one slow
-// route alone is late.
+// Guards against overload, whatever the cause: by Little's law the tries out over the outcomes a second are
+// the time that tries take by now, known before the late ones come in. What is shed follows that time as a
+// part of the objectives. Could harm where many tries hang at a node or two; those soon rest.
 void Guard::learnShed(Ns now) {
   const double beat = static_cast<double>(now - s.shedAt) / static_cast<double>(kSec);
+  if (beat <= 0) return;
   s.shedAt = now;
-  s.lateness -= s.lateness * std::min(1.0, kLateFade * beat);
-  s.shed = std::clamp(s.shed + kShedGain * (s.lateness - kShedFrom) * beat, 0.0, kShedMost);
+  const double weight = std::min(1.0, beat / kFlowMemory);
+  s.meanOut += weight * (s.inflight - s.meanOut);
+  s.flow += weight * (s.finished / beat - s.flow);
+  s.finished = 0;
+  const double time = s.meanOut / std::max(s.flow, 1.0);
+  s.lateness = s.objective > 0 ? std::min(time / s.objective, kLatest) : 0;
+  const double excess = s.lateness - kShedFrom;
+  s.shedBase = std::clamp(s.shedBase + kShedGain * excess * beat, 0.0, kShedMost);
+  s.shed = std::clamp(s.shedBase + kShedNow * excess, 0.0, kShedMost);
   if (s.shedding ? s.shed > 0 : s.shed < kShedSay) return;
   s.shedding = !s.shedding;
-  out.lines.push_back(line("%s: outcomes use %.2f of their objectives, %d tries out",
+  out.lines.push_back(line("%s: tries take %.2f of their objectives, %d out",
                            s.shedding ? "sheds by importance" : "sheds no more", s.lateness, s.inflight));
 }
 
-void Guard::learnLateness(const Route &route, Outcome outcome, Ns took) {
-  if (outcome != Outcome::completed && outcome != Outcome::timedOut && outcome != Outcome::turnedAway) return;
-  const double part = static_cast<double>(took) / static_cast<double>(route.objective);
-  const double late = outcome == Outcome::completed ? std::min(part, kLatest) : kLatest;
-  s.lateness += kLearn / 4 * (late - s.lateness);
-}
-
 void Guard::health(Node &n, Outcome outcome, Ns took, Ns now) {
   if (outcome == Outcome::cancelled || outcome == Outcome::notSent) return;
   const bool failed = hardFailure(outcome);
@@ -392,7 +399,9 @@
   n.failShare += kLearn * ((failed ? 1 : 0) - n.failShare);
   n.strikes = failed || outcome == Outcome::turnedAway ? n.strikes + 1 : 0;
   if (n.strikes == 0 && n.failShare < kFailRest / 2) n.rests = 0;
+  s.failShare += kLearn / 4 * ((failed ? 1 : 0) - s.failShare);
   if (n.restUntil > now || (n.strikes < kStrikes && n.failShare < kFailRest)) return;
+  if (n.failShare < kFailApart * s.failShare) return;
   // Guards against nodes that hang, fail or are out of reach, whatever the cause; the rest ends by itself and
   // the next tries tell. It could hurt where a fleet is merely overloaded, hence the half rule in
   // twoChoices().
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -154,7 +154,6 @@
   Step giveUp(Req &rq, Ns now);
   Step dispatch(Req &rq, Node &n, Ns now);
   void health(Node &n, Outcome outcome, Ns took, Ns now);
-  void learnLateness(const Route &route, Outcome outcome, Ns took);
   void judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now);
   void evidence(bool failed);
   void report();
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -85,9 +85,14 @@
 
   // Load, and the rates that bound it.
   int inflight = 0;
-  double latency = 0;  // mean time of own tries, ns
-  double lateness = 0; // mean part of their objectives that outcomes use up
-  double shed = 0;     // share of reqs to shed
+  double latency = 0;           // mean time of own tries, ns
+  double failShare = 0;         // recent share of own tries that failed
+  double objective = 0;         // mean of the reqs taken, seconds
+  double finished = 0;          // outcomes since shedAt
+  double meanOut = 0, flow = 0; // tries out, and outcomes a second
+  double lateness = 0;          // time that tries take, as a part of the objectives
+  double shedBase = 0;          // the part of shed that builds up
+  double shed = 0;              // share of reqs to shed
   Ns shedAt = 0;
   bool shedding = false;
   double resendCredit = 0;
