Judge each route and the flagged answers in channels beside the pooled ratio

Each channel is the same mechanism: ratio, step report, CUSUM; the highest speaks. It could harm where clients flag right answers in bursts; the earlier build's flags bound that.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -24,6 +24,9 @@
 constexpr Ns kRenew = 4 * kSec;
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45;
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
+constexpr double kFlagsFirst = 0.002, kFlagPrior = 500; // flags for each answer, as if so many had been seen
+constexpr double kFlagsLeast = 0.0005, kFlagsMost = 0.05, kFlagMemory = 5000;
+constexpr double kWrongShare = 0.05; // of a bad build's answers
 
 // Routing and health.
 constexpr Ns kBeat = 50 * kMs;       // how often due() looks round
@@ -96,6 +99,7 @@
   s.chance.seed(static_cast<std::knuth_b::result_type>(seed ^ seed >> 32));
   // What the last life of this marshal sent to a trial is unknown, so no free try is assumed left.
   s.credit.assign(s.d.rollout.capByRoute ? std::max<std::size_t>(s.d.routes.size(), 1) : 1, 0.0);
+  s.channels.resize(s.d.routes.size() + 2);
   s.resendCredit = kResendBurst;
   s.rateAt = s.shedAt = now;
 }
@@ -424,20 +428,51 @@
   if (outcome != Outcome::completed && (!hardFailure(outcome) || outcome == Outcome::unreachable)) return;
   if (t.node->listing.start != 0 && now - t.node->listing.start < kYoung) return;
   const bool failed = outcome != Outcome::completed || took > objective;
-  if (t.build == s.news.build && s.tried) return evidence(failed);
-  s.earlierSeen = s.earlierSeen * (1 - 1 / kEarlierMemory) + 1;
-  s.earlierFailed = s.earlierFailed * (1 - 1 / kEarlierMemory) + (failed ? 1 : 0);
+  if (outcome == Outcome::completed) answered(t.build, 1, 0);
+  for (const std::size_t channel : {std::size_t{0}, static_cast<std::size_t>(rq.route) + 1}) {
+    if (t.build == s.news.build && s.tried) {
+      evidence(channel, failed);
+      continue;
+    }
+    auto &c = s.channels[channel];
+    c.earlierSeen = c.earlierSeen * (1 - 1 / kEarlierMemory) + 1;
+    c.earlierFailed = c.earlierFailed * (1 - 1 / kEarlierMemory) + (failed ? 1 : 0);
+  }
 }
 
-void Guard::evidence(bool failed) {
-  if (s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn) return;
-  const double share = s.earlierFailed / std::max(s.earlierSeen, 1.0);
+// One outcome in one channel: the whole trial, or one route, so that one failing route does not drown.
+void Guard::evidence(std::size_t channel, bool failed) {
+  auto &c = s.channels[channel];
+  const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
   const double p0 =
-      s.earlierSeen < kEarlierEnough ? kEarlierFirst : std::clamp(share, kEarlierLeast, kEarlierMost);
+      c.earlierSeen < kEarlierEnough ? kEarlierFirst : std::clamp(share, kEarlierLeast, kEarlierMost);
   const double p1 = 2 * p0 + 0.02; // under 1, as p0 is held
-  s.ratio += failed ? std::log(p1 / p0) : std::log((1 - p1) / (1 - p0));
-  s.unreported += 1;
-  if (std::abs(s.ratio) >= kStep) report();
+  move(channel, failed ? std::log(p1 / p0) : std::log((1 - p1) / (1 - p0)), 1);
+}
+
+// Flags by clients are the only trace of wrong answers. They come late and rarely, so they are counted for
+// each answer against the rate at which the earlier build's answers are flagged, and against that rate with
+// some wrong ones more.
+void Guard::answered(int build, double answers, double flags) {
+  if (s.d.rollout.foundShare <= 0 || !s.haveNews || build > s.news.build) return;
+  auto &c = s.channels.back();
+  if (build < s.news.build || !s.tried) {
+    c.earlierSeen = c.earlierSeen * (1 - answers / kFlagMemory) + answers;
+    c.earlierFailed = c.earlierFailed * (1 - answers / kFlagMemory) + flags;
+    return;
+  }
+  const double f0 = std::clamp((c.earlierFailed + kFlagPrior * kFlagsFirst) / (c.earlierSeen + kFlagPrior),
+                               kFlagsLeast, kFlagsMost);
+  const double f1 = f0 + kWrongShare * s.d.rollout.foundShare;
+  move(s.channels.size() - 1, flags * std::log(f1 / f0) - answers * (f1 - f0), answers);
+}
+
+void Guard::move(std::size_t channel, double by, double outcomes) {
+  if (s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn) return;
+  auto &c = s.channels[channel];
+  c.ratio += by;
+  c.unreported += outcomes;
+  if (std::abs(c.ratio) >= kStep) report(channel);
 }
 
 int Guard::fusers() const {
@@ -446,36 +481,52 @@
   return s.d.peers ? std::min(most, s.d.marshals) : s.d.marshals;
 }
 
-void Guard::report() {
-  std::vector<std::uint8_t> bytes{kNoteVersion, static_cast<std::uint8_t>(s.news.stage)};
+void Guard::report(std::size_t channel) {
+  auto &c = s.channels[channel];
+  std::vector<std::uint8_t> bytes{kNoteVersion, static_cast<std::uint8_t>(channel)};
   put(bytes, static_cast<std::uint32_t>(s.news.build), 4);
-  put(bytes, static_cast<std::uint32_t>(std::lround(s.ratio * 1e4)), 4);
-  put(bytes, static_cast<std::uint32_t>(s.unreported), 4);
+  put(bytes, static_cast<std::uint32_t>(std::lround(c.ratio * 1e4)), 4);
+  put(bytes, static_cast<std::uint32_t>(c.unreported), 4);
   for (int to = 0; s.d.peers && to < fusers(); ++to)
     if (to != s.d.me) out.notes.push_back({to, bytes});
-  if (s.d.me < fusers()) fuse(s.ratio, s.unreported);
-  s.ratio = s.unreported = 0;
+  if (s.d.me < fusers()) fuse(channel, c.ratio, c.unreported);
+  c.ratio = c.unreported = 0;
 }
 
 void Guard::note(int from, const std::uint8_t *bytes, std::size_t n, Ns) {
   if (n != kNoteSize || bytes[0] != kNoteVersion || from == s.d.me || s.d.me >= fusers() || !s.haveNews)
     return;
-  const auto build = get(bytes + 2, 4), move = get(bytes + 6, 4), outcomes = get(bytes + 10, 4);
-  if (build != static_cast<std::uint32_t>(s.news.build)) return;
-  fuse(static_cast<std::int32_t>(move) / 1e4, outcomes);
+  const std::size_t channel = bytes[1];
+  const auto build = get(bytes + 2, 4), moved = get(bytes + 6, 4), outcomes = get(bytes + 10, 4);
+  if (build != static_cast<std::uint32_t>(s.news.build) || channel >= s.channels.size()) return;
+  fuse(channel, static_cast<std::int32_t>(moved) / 1e4, outcomes);
 }
 
 double Guard::threshold() const {
   return kThreshold + std::log(std::max(s.stageOutcomes, 1.0));
 }
 
-void Guard::fuse(double move, double outcomes) {
-  s.y = std::max(s.y, 0.0) + move;
-  s.stageOutcomes += outcomes;
-  if (s.against || s.y < threshold()) return;
+void Guard::fuse(std::size_t channel, double moved, double outcomes) {
+  auto &c = s.channels[channel];
+  c.y = std::max(c.y, 0.0) + moved;
+  if (channel == 0) s.stageOutcomes += outcomes;
+  if (s.against || c.y < threshold()) return;
   s.against = true;
-  out.lines.push_back(line("build %d is judged bad: y %.1f of %.1f, %.0f outcomes this stage", s.news.build,
-                           s.y, threshold(), s.stageOutcomes));
+  out.lines.push_back(line("build %d is judged bad by %s: y %.1f of %.1f, %.0f outcomes this stage",
+                           s.news.build, channelName(channel).c_str(), c.y, threshold(), s.stageOutcomes));
+}
+
+// The channel nearest to the threshold speaks for the build.
+double Guard::highest() const {
+  double y = s.channels.front().y;
+  for (const auto &c : s.channels)
+    y = std::max(y, c.y);
+  return y;
+}
+
+std::string Guard::channelName(std::size_t channel) const {
+  if (channel == 0) return "outcomes";
+  return channel + 1 == s.channels.size() ? "flags" : line("route %d", static_cast<int>(channel) - 1);
 }
 
 Ns Guard::newestStart() const {
@@ -491,7 +542,7 @@
     return Verdict::withdraw;
   if (s.against) return Verdict::back;
   if (phase == Phase::released) return Verdict::withdraw;
-  const bool doubt = s.y > kHoldLevel * threshold();
+  const bool doubt = highest() > kHoldLevel * threshold();
   if (s.d.rollout.control == Control::clock) return doubt ? Verdict::hold : Verdict::withdraw;
   const auto newest = newestStart();
   return !doubt && newest >= 0 && now - newest >= kOnAfter ? Verdict::on : Verdict::withdraw;
@@ -507,7 +558,8 @@
   if (same && now < s.voteNext) return;
   if (!same)
     out.lines.push_back(line("votes %s on build %d stage %d: y %.1f of %.1f, %.0f outcomes",
-                             word(want.verdict), want.build, want.stage, s.y, threshold(), s.stageOutcomes));
+                             word(want.verdict), want.build, want.stage, highest(), threshold(),
+                             s.stageOutcomes));
   out.votes.push_back(want);
   s.voted = want;
   s.voteOut = true;
@@ -526,7 +578,9 @@
   const bool changed =
       !s.haveNews || news.build != s.news.build || news.stage != s.news.stage || news.phase != s.news.phase;
   if (!s.haveNews || news.build != s.news.build) {
-    s.ratio = s.unreported = s.y = s.stageOutcomes = 0;
+    for (auto &c : s.channels)
+      c.ratio = c.unreported = c.y = 0;
+    s.stageOutcomes = 0;
     s.against = false;
   } else if (news.stage != s.news.stage) {
     s.stageOutcomes = 0;
@@ -541,7 +595,10 @@
                              kPhases[static_cast<int>(news.phase)], news.stage, news.cap));
 }
 
-void Guard::flagged(Node &, int, Ns, Ns) {}
+// A flag speaks of the build that the node ran when the answer was sent.
+void Guard::flagged(Node &n, int, Ns sentAgo, Ns now) {
+  if (now - sentAgo >= n.listing.start) answered(n.listing.build, 0, 1);
+}
 
 void Guard::tallied(int, int, std::uint32_t, std::uint32_t, Ns, Ns) {}
 
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -31,6 +31,7 @@
   double free = 0;
   bool capByRoute = false, noReturn = false;
   int guardedStages = 0;
+  double foundShare = 0; // of the wrong answers, how many are flagged
   int votesToGo = 0, noesNeeded = 1, stoppers = 0;
   Ns voteStands = 0;
   double voteAllowance = 0;
@@ -155,9 +156,13 @@
   Step dispatch(Req &rq, Node &n, Ns now);
   void health(Node &n, Outcome outcome, Ns took, Ns now);
   void judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now);
-  void evidence(bool failed);
-  void report();
-  void fuse(double move, double outcomes);
+  void evidence(std::size_t channel, bool failed);
+  void answered(int build, double answers, double flags);
+  void move(std::size_t channel, double by, double outcomes);
+  void report(std::size_t channel);
+  void fuse(std::size_t channel, double moved, double outcomes);
+  double highest() const;
+  std::string channelName(std::size_t channel) const;
   int fusers() const;
   double threshold() const;
   Ns newestStart() const;
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -53,6 +53,14 @@
   Ns reportedAt = 0;
 };
 
+// One stream of evidence: own log-likelihood ratio since the last report, the fuser's CUSUM, and the earlier
+// build's outcomes, decaying.
+struct Channel {
+  double ratio = 0, unreported = 0;
+  double y = 0;
+  double earlierFailed = 0, earlierSeen = 0;
+};
+
 struct Instance {
   Deployment d;
   std::knuth_b chance;
@@ -71,11 +79,10 @@
   std::unordered_map<std::uint64_t, int>
       keyBuild; // noReturn: the build that last answered a key; looked up only
 
-  // The mechanism: own log-likelihood ratio since the last report; the fuser's CUSUM.
-  double ratio = 0, unreported = 0;
-  double y = 0, stageOutcomes = 0;
-  double earlierFailed = 0, earlierSeen = 0; // the earlier build's outcomes, decaying
-  bool against = false;                      // y has reached the threshold for this build
+  // The mechanism.
+  std::vector<Channel> channels; // all outcomes; then a route each; last, flags
+  double stageOutcomes = 0;      // reported this stage
+  bool against = false;          // some y has reached the threshold for this build
 
   // The vote.
   Vote voted{Verdict::withdraw, 0, 0}; // the latest sent
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -116,6 +116,7 @@
   r.capByRoute = in.word("familyInfo.capScope", "all") == "each_class";
   r.noReturn = in.flag("familyInfo.noReturn");
   r.guardedStages = static_cast<int>(in.whole("familyInfo.guardedStages", 0, 0, 1000));
+  r.foundShare = in.real("familyInfo.foundShare", 0);
   r.votesToGo = static_cast<int>(in.whole("familyInfo.votesToGo", 0, 0, 1'000'000));
   r.noesNeeded = static_cast<int>(in.whole("familyInfo.noesNeeded", 1, 0, 1'000'000));
   r.stoppers = static_cast<int>(in.whole("familyInfo.stoppers", 0, 0, 1'000'000));
