--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -23,7 +23,7 @@
 constexpr Ns kOnAfter = 3 * kSec; // of quiet since the newest start, before a vote on
 constexpr Ns kRenew = 4 * kSec;
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45;
-constexpr double kEarlierEnough = 20, kEarlierMemory = 120; // outcomes
+constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
 constexpr double kFlagsFirst = 0.002, kFlagPrior = 500; // flags for each answer, as if so many had been seen
 constexpr double kFlagsLeast = 0.0005, kFlagsMost = 0.05, kFlagMemory = 5000;
 constexpr double kWrongShare = 0.05; // of a bad build's answers
@@ -36,7 +36,7 @@
 constexpr Ns kForget = 5 * kSec;     // a node's latency is half forgiven after this without news of it
 constexpr double kFailWeight = 10;   // a node that fails always looks this much more loaded
 constexpr double kCrossWeight = 10;  // per unit of cross-zone price, likewise
-constexpr double kTrialCrowd = 1.0; // the trial's nodes may be this many times as crowded as the others
+constexpr double kTrialCrowd = 1.25; // the trial's nodes may be this many times as crowded as the others
 constexpr int kStrikes = 3;          // hard failures in a row that put a node out of use
 constexpr double kFailApart = 2;     // and this many times the share that fails anywhere
 constexpr double kFailRest = 0.5;    // or this share of failures
