--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -29,17 +29,18 @@
 constexpr double kWrongShare = 0.05; // of a bad build's answers
 
 // Routing and health.
-constexpr Ns kBeat = 50 * kMs;       // how often due() looks round
-constexpr double kSlowFrom = 1.3;    // times the mean latency, before a node counts as slow
-constexpr double kSilence = 5;       // times the mean latency, before a node with tries out counts as silent
-constexpr double kLearn = 0.1;       // weight of the newest sample in a running mean
-constexpr Ns kForget = 5 * kSec;     // a node's latency is half forgiven after this without news of it
-constexpr double kFailWeight = 10;   // a node that fails always looks this much more loaded
-constexpr double kCrossWeight = 10;  // per unit of cross-zone price, likewise
+constexpr Ns kBeat = 50 * kMs;      // how often due() looks round
+constexpr double kSlowFrom = 1.3;   // times the mean latency, before a node counts as slow
+constexpr double kSilence = 5;      // times the mean latency, before a node with tries out counts as silent
+constexpr double kLearn = 0.1;      // weight of the newest sample in a running mean
+constexpr Ns kForget = 5 * kSec;    // a node's latency is half forgiven after this without news of it
+constexpr double kFailWeight = 10;  // a node that fails always looks this much more loaded
+constexpr double kCrossWeight = 10; // per unit of cross-zone price, likewise
+constexpr double kBackCrowd = 0.5;  // the same for a build on its way back
 constexpr double kTrialCrowd = 1.5; // the trial's nodes may be this many times as crowded as the others
-constexpr int kStrikes = 3;          // hard failures in a row that put a node out of use
-constexpr double kFailApart = 2;     // and this many times the share that fails anywhere
-constexpr double kFailRest = 0.5;    // or this share of failures
+constexpr int kStrikes = 3;         // hard failures in a row that put a node out of use
+constexpr double kFailApart = 2;    // and this many times the share that fails anywhere
+constexpr double kFailRest = 0.5;   // or this share of failures
 constexpr Ns kRest = kSec / 2, kMostRest = 8 * kSec; // first spell out of use, doubling
 constexpr Ns kReportLife = kSec;                     // an older load report says nothing
 constexpr double kDoubt = 0.5; // share of the objective that a try may take at a node that has just failed
@@ -118,7 +119,7 @@
 }
 
 double Guard::capOf(int build) const {
-  if (s.haveNews && build == s.news.build) return s.news.phase == Phase::trial ? s.news.cap : 0;
+  if (s.haveNews && build == s.news.build) return s.news.cap;
   return s.d.rollout.caps.empty() ? 0 : s.d.rollout.caps.front();
 }
 
@@ -129,10 +130,10 @@
 // The windowed count of the design, held for every window that is yet to end as well: each req taken adds the
 // cap, each trial try takes one, and no more than `free` is ever saved up.
 void Guard::bookCredit(const Req &rq) {
-  double cap = s.haveNews ? capOf(s.news.build) : 1;
+  const int named = s.haveNews ? s.news.build : 0;
+  double cap = onTrial(named) ? capOf(named) : capOf(named + 1);
   for (const auto *n : s.ready)
     if (onTrial(n->listing.build)) cap = std::min(cap, capOf(n->listing.build));
-  if (!s.haveNews || s.news.phase != Phase::trial) cap = capOf(s.news.build + 1);
   auto &credit = creditFor(rq);
   credit = std::min(credit + cap * (1 - 1e-6), s.d.rollout.free);
 }
@@ -238,7 +239,9 @@
   if (m == nullptr || t == nullptr) return m != nullptr ? m : t;
   if (!rq.tries.empty()) return m; // a further try is no place for an experiment
   // Guards the judging: past the others' crowding, late answers would speak of our traffic, not of the build.
-  return crowding(now, true) <= kTrialCrowd * crowding(now, false) ? t : m;
+  // On the way back the cap is only for what the returning nodes can't bear yet.
+  const double crowd = s.news.phase == Phase::trial ? kTrialCrowd : kBackCrowd;
+  return crowding(now, true) <= crowd * crowding(now, false) ? t : m;
 }
 
 // Own tries out for each warm node of the build on trial, or of the others.
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -95,6 +95,14 @@
   }
 }
 
+static void theWayBackUsesTheCapWhileNothingElseIsUp() { // found by a hunt: a fleet in place was left idle
+  Bed bed(smallDeployment(), 0, 2, Phase::goingBack);
+  bed.guard.s.news.cap = 0.8;
+  bed.guard.s.credit[0] = 2;
+  Req rq = Bed::req();
+  assert(bed.guard.where(rq, kNow).what == Step::send);
+}
+
 static void unnamedBuildCountsAsFirstStage() {
   Bed bed(smallDeployment(), 5);
   for (int i = 0; i < 5; ++i)
@@ -139,6 +147,7 @@
   coldNodeKeepsItsBudget();
   exposureStaysWithinTheCap();
   shutBuildsGetNothing();
+  theWayBackUsesTheCapWhileNothingElseIsUp();
   unnamedBuildCountsAsFirstStage();
   guardedStagesAreForRetriableReqs();
   noReturnKeepsAKeyOnItsBuild();
