Leave out nodes in doubt, probe after rests with one try, and shed deeper

A node in doubt (resting, silent, or back and not yet heard of) is left out unless all are; rests compare with the better quarter; a node that only times out is no evidence against its build.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -39,8 +39,8 @@
 constexpr double kBackCrowd = 0.5;  // the same for a build on its way back
 constexpr double kTrialCrowd = 1.5; // the trial's nodes may be this many times as crowded as the others
 constexpr int kStrikes = 3;         // hard failures in a row that put a node out of use
-constexpr double kFailApart = 2;    // and this many times the share that fails anywhere
-constexpr double kFailRest = 0.5;   // or this share of failures
+constexpr double kFailApart = 2, kFailMargin = 0.1;  // times the better nodes' share, and this more
+constexpr double kFailRest = 0.5;                    // or this share of failures
 constexpr Ns kRest = kSec / 2, kMostRest = 8 * kSec; // first spell out of use, doubling
 constexpr Ns kReportLife = kSec;                     // an older load report says nothing
 constexpr double kDoubt = 0.5; // share of the objective that a try may take at a node that has just failed
@@ -54,7 +54,8 @@
 constexpr double kShedFrom = 0.5;   // part of the objectives used up, above which reqs are shed
 constexpr double kShedNow = 0.5,
                  kShedGain = 0.4; // share shed for each unit above, at once and more each second
-constexpr double kShedMost = 0.8; // some are always let in, to tell when the trouble is over
+constexpr double kShedMost = 0.95,
+                 kBaseMost = 0.7;               // some are always let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
 constexpr double kShedSay = 0.05;
 constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs;
@@ -173,8 +174,7 @@
   const bool fresh = n.reportedAt > 0 && now - n.reportedAt < kReportLife;
   const double far = n.listing.zone == s.d.zone ? 1 : 1 + kCrossWeight * s.d.crossZonePrice;
   const double queue = 1 + n.inflight + (fresh ? n.reported : 0);
-  const double failing = n.failShare + (silent(n, now) ? 1 : 0);
-  return queue * (1 + slow) * far * (1 + kFailWeight * failing) / warmth(n, now);
+  return queue * (1 + slow) * far * (1 + kFailWeight * n.failShare) / warmth(n, now);
 }
 
 // Guards against nodes that hang or lose their answers, before any try has timed out. Could harm where one
@@ -202,13 +202,18 @@
   return goesBack;
 }
 
-// Two random choices by own load. Nodes that rest are left out unless half of the build rests: then the
-// trouble is not theirs. Nodes tried before for this req come last.
+// A node that rests, is silent, or has come back from a rest and has not answered yet while a try is out
+// there.
+bool Guard::doubtful(const Node &n, Ns now) const {
+  return n.restUntil > now || silent(n, now) || (n.rests > 0 && n.inflight > 0);
+}
+
+// Two random choices by own load, among the nodes not in doubt if there are any. Nodes tried before for this
+// req come last.
 Node *Guard::twoChoices(std::vector<Node *> &from, const Req &rq, Ns now) {
   std::erase_if(from, [&](Node *n) { return !mayTake(rq, *n) || !coldRoom(*n, now); });
-  const auto rests = std::count_if(from.begin(), from.end(), [&](Node *n) { return n->restUntil > now; });
-  if (2 * rests < static_cast<std::ptrdiff_t>(from.size()))
-    std::erase_if(from, [&](Node *n) { return n->restUntil > now; });
+  const auto doubt = [&](Node *n) { return doubtful(*n, now); };
+  if (!std::all_of(from.begin(), from.end(), doubt)) std::erase_if(from, doubt);
   const auto tried = [&](Node *n) {
     return std::any_of(rq.tries.begin(), rq.tries.end(), [&](const Try &t) { return t.node == n; });
   };
@@ -320,8 +325,8 @@
   t.timeout = rq.deadline - now - 2 * s.d.tick;
   const bool another = route.repeat != Repeat::nonRetriable && s.resendCredit >= 1 &&
                        static_cast<int>(rq.tries.size()) + 1 < s.d.mostTries;
-  const bool doubtful = (n.strikes > 0 || silent(n, now)) && s.shed <= 0;
-  if (another && doubtful)
+  const bool suspect = n.rests > 0 || ((n.strikes > 0 || silent(n, now)) && s.shed <= 0);
+  if (another && suspect)
     t.timeout = std::min(t.timeout, static_cast<Ns>(kDoubt * static_cast<double>(route.objective)));
   rq.tries.push_back(t);
   ++rq.out;
@@ -380,13 +385,16 @@
   if (beat <= 0) return;
   s.shedAt = now;
   const double weight = std::min(1.0, beat / kFlowMemory);
-  s.meanOut += weight * (s.inflight - s.meanOut);
+  int live = 0, lost = 0;
+  for (const auto *n : s.ready)
+    (doubtful(*n, now) ? lost : live) += n->inflight;
+  s.meanOut += weight * ((live > 0 ? live : lost) - s.meanOut);
   s.flow += weight * (s.finished / beat - s.flow);
   s.finished = 0;
   const double time = s.meanOut / std::max(s.flow, 1.0);
   s.lateness = s.objective > 0 ? std::min(time / s.objective, kLatest) : 0;
   const double excess = s.lateness - kShedFrom;
-  s.shedBase = std::clamp(s.shedBase + kShedGain * excess * beat, 0.0, kShedMost);
+  s.shedBase = std::clamp(s.shedBase + kShedGain * excess * beat, 0.0, kBaseMost);
   s.shed = std::clamp(s.shedBase + kShedNow * excess, 0.0, kShedMost);
   if (s.shedding ? s.shed > 0 : s.shed < kShedSay) return;
   s.shedding = !s.shedding;
@@ -406,12 +414,11 @@
   n.failShare += kLearn * ((failed ? 1 : 0) - n.failShare);
   n.strikes = failed || outcome == Outcome::turnedAway ? n.strikes + 1 : 0;
   if (n.strikes == 0 && n.failShare < kFailRest / 2) n.rests = 0;
-  s.failShare += kLearn / 4 * ((failed ? 1 : 0) - s.failShare);
   if (n.restUntil > now || (n.strikes < kStrikes && n.failShare < kFailRest)) return;
-  if (n.failShare < kFailApart * s.failShare) return;
-  // Guards against nodes that hang, fail or are out of reach, whatever the cause; the rest ends by itself and
-  // the next tries tell. It could hurt where a fleet is merely overloaded, hence the half rule in
-  // twoChoices().
+  if (n.failShare < kFailApart * betterFailShare() + kFailMargin) return;
+  // Guards against nodes that hang, fail or are out of reach, whatever the cause, a whole zone of them too.
+  // The rest ends by itself and one try at a time tells. Could harm where all nodes fail in turn: the better
+  // quarter must not.
   n.restUntil = now + std::min(kRest << std::min(n.rests, 10), kMostRest);
   out.lines.push_back(line("node rests %lld ms: %d strikes, fail share %.2f",
                            static_cast<long long>((n.restUntil - now) / kMs), n.strikes, n.failShare));
@@ -420,6 +427,17 @@
   n.failShare = kFailRest / 2;
 }
 
+// The share of failures below which a quarter of the nodes stay: what trouble common to all looks like.
+double Guard::betterFailShare() const {
+  std::vector<double> shares;
+  for (const auto *n : s.ready)
+    shares.push_back(n->failShare);
+  if (shares.empty()) return 0;
+  const auto quarter = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 4);
+  std::nth_element(shares.begin(), quarter, shares.end());
+  return *quarter;
+}
+
 // ---- The mechanism ----
 
 // Which outcomes are evidence: not those of young nodes, nor those that say nothing of the software. A build
@@ -429,6 +447,9 @@
   const auto objective = s.d.routes[static_cast<std::size_t>(rq.route)].objective;
   if (outcome == Outcome::timedOut && 2 * took < objective * kDoubt) return; // the client left it no time
   if (outcome != Outcome::completed && (!hardFailure(outcome) || outcome == Outcome::unreachable)) return;
+  const bool silence = outcome == Outcome::timedOut || outcome == Outcome::reset;
+  if (silence && t.node->strikes > kStrikes)
+    return; // it answers nothing: the node's trouble, whatever it runs
   if (t.node->listing.start != 0 && now - t.node->listing.start < kYoung) return;
   const bool failed = outcome != Outcome::completed || took > objective;
   if (outcome == Outcome::completed) answered(t.build, 1, 0);
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -145,6 +145,8 @@
   bool coldRoom(const Node &n, Ns now) const;
   double load(const Node &n, Ns now) const;
   bool silent(const Node &n, Ns now) const;
+  bool doubtful(const Node &n, Ns now) const;
+  double betterFailShare() const;
   double crowding(Ns now, bool trial) const;
   bool mayTake(const Req &rq, const Node &n) const;
   Node *twoChoices(std::vector<Node *> &from, const Req &rq, Ns now);
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -93,7 +93,6 @@
   // Load, and the rates that bound it.
   int inflight = 0;
   double latency = 0;           // mean time of own tries, ns
-  double failShare = 0;         // recent share of own tries that failed
   double objective = 0;         // mean of the reqs taken, seconds
   double finished = 0;          // outcomes since shedAt
   double meanOut = 0, flow = 0; // tries out, and outcomes a second
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -36,7 +36,7 @@
 
 static void restsSpareAFleetThatFailsTogether() { // found on the first incidents
   Bed bed;
-  bed.guard.s.failShare = 0.5;
+  bed.node(0).failShare = bed.node(1).failShare = 0.5;
   for (int i = 0; i < 5; ++i) {
     Req rq = bed.triedAt(bed.node(0), 2, true);
     bed.guard.after(rq, 0, Outcome::timedOut, kSec, false, kNow);
