--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -36,7 +36,6 @@
 constexpr Ns kForget = 5 * kSec;    // a node's latency is half forgiven after this without news of it
 constexpr double kFailWeight = 10;  // a node that fails always looks this much more loaded
 constexpr double kCrossWeight = 10; // per unit of cross-zone price, likewise
-constexpr double kFullCrowd = 0.9;  // the same while shedding: there is no room to try it harder
 constexpr double kBackCrowd = 0.5;  // the same for a build on its way back
 constexpr double kTrialCrowd = 1.5; // the trial's nodes may be this many times as crowded as the others
 constexpr int kStrikes = 3;         // hard failures in a row that put a node out of use
@@ -246,7 +245,7 @@
   if (!rq.tries.empty()) return m; // a further try is no place for an experiment
   // Guards the judging: past the others' crowding, late answers would speak of our traffic, not of the build.
   // On the way back the cap is only for what the returning nodes can't bear yet.
-  const double crowd = s.news.phase != Phase::trial ? kBackCrowd : s.shed > 0 ? kFullCrowd : kTrialCrowd;
+  const double crowd = s.news.phase == Phase::trial ? kTrialCrowd : kBackCrowd;
   return crowding(now, true) <= crowd * crowding(now, false) ? t : m;
 }
 
