Compare the trial node picked with the mean of the others

Cause: crowding was averaged over the trial's nodes, cold ones too, so the one warm node of an early stage was flooded and its build blamed.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -246,18 +246,18 @@
   // Guards the judging: past the others' crowding, late answers would speak of our traffic, not of the build.
   // On the way back the cap is only for what the returning nodes can't bear yet.
   const double crowd = s.news.phase == Phase::trial ? kTrialCrowd : kBackCrowd;
-  return crowding(now, true) <= crowd * crowding(now, false) ? t : m;
+  return (t->inflight + 1) / warmth(*t, now) <= crowd * crowding(now) ? t : m;
 }
 
-// Own tries out for each warm node of the build on trial, or of the others.
-double Guard::crowding(Ns now, bool trial) const {
-  double tries = 1, nodes = 0;
+// Own tries out, and the one to come, at the mean warm node of the builds that are not on trial.
+double Guard::crowding(Ns now) const {
+  double tries = 0, nodes = 0;
   for (const auto *n : s.ready) {
-    if (onTrial(n->listing.build) != trial) continue;
+    if (onTrial(n->listing.build)) continue;
     tries += n->inflight;
     nodes += warmth(*n, now);
   }
-  return tries / nodes;
+  return tries / std::max(nodes, 1.0) + 1;
 }
 
 // ---- The three questions ----
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -147,7 +147,7 @@
   bool silent(const Node &n, Ns now) const;
   bool doubtful(const Node &n, Ns now) const;
   double betterFailShare() const;
-  double crowding(Ns now, bool trial) const;
+  double crowding(Ns now) const;
   bool mayTake(const Req &rq, const Node &n) const;
   Node *twoChoices(std::vector<Node *> &from, const Req &rq, Ns now);
   Node *choose(const Req &rq, Ns now);
