--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -22,7 +22,6 @@
 constexpr Ns kYoung = 5 * kSec;   // outcomes this soon after a node's start are no evidence
 constexpr Ns kOnAfter = 3 * kSec; // of quiet since the newest start, before a vote on
 constexpr Ns kRenew = 4 * kSec;
-constexpr double kWorse = 0.05; // by how much more than twice the earlier share a bad build fails
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45;
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
 constexpr double kFlagsFirst = 0.002, kFlagPrior = 500; // flags for each answer, as if so many had been seen
@@ -471,7 +470,7 @@
   const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
   const double p0 =
       c.earlierSeen < kEarlierEnough ? kEarlierFirst : std::clamp(share, kEarlierLeast, kEarlierMost);
-  const double p1 = 2 * p0 + kWorse; // under 1, as p0 is held
+  const double p1 = 2 * p0 + 0.02; // under 1, as p0 is held
   move(channel, failed ? std::log(p1 / p0) : std::log((1 - p1) / (1 - p0)), 1);
 }
 
