--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -37,7 +37,7 @@
 constexpr double kFailWeight = 10;  // a node that fails always looks this much more loaded
 constexpr double kCrossWeight = 10; // per unit of cross-zone price, likewise
 constexpr double kBackCrowd = 0.5;  // the same for a build on its way back
-constexpr double kTrialCrowd = 1.5; // the trial's nodes may be this many times as crowded as the others
+constexpr double kTrialCrowd = 1.2; // the trial's nodes may be this many times as crowded as the others
 constexpr int kStrikes = 3;         // hard failures in a row that put a node out of use
 constexpr double kFailApart = 2, kFailMargin = 0.1;  // times the better nodes' share, and this more
 constexpr double kFailRest = 0.5;                    // or this share of failures
