Know a standstill of the marshal itself from silent nodes

It guards against any pause of the process; it could harm where traffic is so thin that 150 ms pass without a beat, which the beats prevent.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -29,6 +29,7 @@
 constexpr double kWrongShare = 0.05; // of a bad build's answers
 
 // Routing and health.
+constexpr Ns kDeaf = 150 * kMs;     // without being asked anything, beats and all
 constexpr Ns kBeat = 50 * kMs;      // how often due() looks round
 constexpr double kSlowFrom = 1.3;   // times the mean latency, before a node counts as slow
 constexpr double kSilence = 5;      // times the mean latency, before a node with tries out counts as silent
@@ -103,7 +104,7 @@
   s.credit.assign(s.d.rollout.capByRoute ? std::max<std::size_t>(s.d.routes.size(), 1) : 1, 0.0);
   s.channels.resize(s.d.routes.size() + 2);
   s.resendCredit = kResendBurst;
-  s.rateAt = s.shedAt = now;
+  s.rateAt = s.shedAt = s.seenAt = now;
 }
 
 double Guard::uniform() {
@@ -262,7 +263,18 @@
 
 // ---- The three questions ----
 
+// Guards against spells in which this marshal itself stood still: then no node was silent, we were deaf.
+void Guard::awake(Ns now) {
+  const Ns gap = now - s.seenAt;
+  s.seenAt = now;
+  if (gap <= kDeaf) return;
+  for (auto &n : s.nodes)
+    n.quietSince += gap;
+  out.lines.push_back(line("stood still for %lld ms", static_cast<long long>(gap / kMs)));
+}
+
 Step Guard::where(Req &rq, Ns now) {
+  awake(now);
   if (rq.ended || rq.streaming || rq.out > 0) return {};
   if (!rq.counted) {
     rq.counted = true;
@@ -282,6 +294,7 @@
 }
 
 Step Guard::after(Req &rq, int tryNo, Outcome outcome, Ns took, bool settled, Ns now) {
+  awake(now);
   auto &t = rq.tries[static_cast<std::size_t>(tryNo)];
   if (!t.out) return {};
   t.out = false;
@@ -696,6 +709,7 @@
 }
 
 Due Guard::due(Ns now) {
+  awake(now);
   learnRate(now);
   learnShed(now);
   castVote(now);
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -146,6 +146,7 @@
   double load(const Node &n, Ns now) const;
   bool silent(const Node &n, Ns now) const;
   bool doubtful(const Node &n, Ns now) const;
+  void awake(Ns now);
   double betterFailShare() const;
   double crowding(Ns now) const;
   bool mayTake(const Req &rq, const Node &n) const;
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -90,6 +90,8 @@
   Ns voteNext = 0;                     // no earlier vote unless the verdict changes
   Ns voteRetry = 0;                    // none at all before this
 
+  Ns seenAt = 0; // when the instance was last asked anything
+
   // Load, and the rates that bound it.
   int inflight = 0;
   double latency = 0;           // mean time of own tries, ns
