--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -58,6 +58,7 @@
 constexpr double kShedMost = 0.95,
                  kBaseMost = 0.7;               // some are always let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
+constexpr double kShedRepeat = 0.5; // on the exponent, for a client's repeat
 constexpr double kShedSay = 0.05;
 constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs;
 
@@ -387,7 +388,8 @@
   for (const auto &r : s.d.routes)
     most = std::max(most, r.importance);
   const double worth = s.d.routes[static_cast<std::size_t>(rq.route)].importance / most;
-  return std::pow(s.shed, kShedLow + (kShedHigh - kShedLow) * worth);
+  const double repeat = rq.clientRepeat ? kShedRepeat : 1; // likely to be late already
+  return std::pow(s.shed, repeat * (kShedLow + (kShedHigh - kShedLow) * worth));
 }
 
 // Guards against overload, whatever the cause: by Little's law the tries out over the outcomes a second are
