--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -38,7 +38,8 @@
 constexpr double kFailWeight = 10;  // a node that fails always looks this much more loaded
 constexpr double kCrossWeight = 10; // per unit of cross-zone price, likewise
 constexpr double kBackCrowd = 0.5;  // the same for a build on its way back
-constexpr double kTrialCrowd = 1.2; // the trial's nodes may be this many times as crowded as the others
+constexpr double kFairCrowd = 1.2;  // above it, late answers are no evidence
+constexpr double kTrialCrowd = 1.5; // the trial's nodes may be this many times as crowded as the others
 constexpr int kStrikes = 3;         // hard failures in a row that put a node out of use
 constexpr double kFailApart = 2, kFailMargin = 0.1;  // times the better nodes' share, and this more
 constexpr double kFailRest = 0.5;                    // or this share of failures
@@ -58,7 +59,7 @@
 constexpr double kShedMost = 0.95,
                  kBaseMost = 0.7;               // some are always let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
-constexpr double kShedRepeat = 0.5; // on the exponent, for a client's repeat
+constexpr double kShedRepeat = 0.5;             // on the exponent, for a client's repeat
 constexpr double kShedSay = 0.05;
 constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs;
 
@@ -335,6 +336,7 @@
   t.cell = n.listing.cell;
   t.trial = onTrial(t.build);
   if (t.trial) creditFor(rq) -= 1;
+  t.crowded = t.trial && (n.inflight + 1) / warmth(n, now) > kFairCrowd * crowding(now);
   // The last word is ours before the client's time is up, the tick's coarseness allowed for.
   t.timeout = rq.deadline - now - 2 * s.d.tick;
   const bool another = route.repeat != Repeat::nonRetriable && s.resendCredit >= 1 &&
@@ -462,6 +464,9 @@
   const auto objective = s.d.routes[static_cast<std::size_t>(rq.route)].objective;
   if (outcome == Outcome::timedOut && 2 * took < objective * kDoubt) return; // the client left it no time
   if (outcome != Outcome::completed && (!hardFailure(outcome) || outcome == Outcome::unreachable)) return;
+  // Of a crowded node only errors speak: they show faults that need load, without blaming the build for our
+  // traffic.
+  if (t.crowded && outcome != Outcome::errored) return;
   const bool silence = outcome == Outcome::timedOut || outcome == Outcome::reset;
   if (silence && t.node->strikes > kStrikes)
     return; // it answers nothing: the node's trouble, whatever it runs
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -16,6 +16,7 @@
   Ns sent = 0, timeout = 0;
   int build = 0, zone = 0, cell = 0; // as listed when it was sent
   bool trial = false;
+  bool crowded = false; // more so than the builds not on trial, when it was sent
   bool out = true;
   bool mayHaveRun = true; // until an outcome proves that it never ran
   bool given = false;     // called off by us
