--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -470,7 +470,10 @@
   const bool silence = outcome == Outcome::timedOut || outcome == Outcome::reset;
   if (silence && t.node->strikes > kStrikes)
     return; // it answers nothing: the node's trouble, whatever it runs
-  if (t.node->listing.start != 0 && now - t.node->listing.start < kYoung) return;
+  // Cold nodes are slow, not faulty: errors speak at any age, and lateness once the node is warm.
+  const bool young =
+      t.node->listing.start != 0 && now - t.node->listing.start < std::min(kYoung, s.d.coldFor);
+  if (young && outcome != Outcome::errored) return;
   const bool failed = outcome != Outcome::completed || took > objective;
   if (outcome == Outcome::completed) answered(t.build, 1, 0);
   for (const std::size_t channel : {std::size_t{0}, static_cast<std::size_t>(rq.route) + 1}) {
