--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -40,10 +40,7 @@
 constexpr double kBackCrowd = 0.5;  // the same for a build on its way back
 constexpr double kFairCrowd = 1.2;  // above it, late answers are no evidence
 constexpr double kTrialCrowd = 1.5; // the trial's nodes may be this many times as crowded as the others
-constexpr double kSlowApart =
-    2; // times the time of its build's other nodes, and a node's slowness is its own
-constexpr Ns kSameAge = 2 * kSec;
-constexpr int kStrikes = 3;                          // hard failures in a row that put a node out of use
+constexpr int kStrikes = 3;         // hard failures in a row that put a node out of use
 constexpr double kFailApart = 2, kFailMargin = 0.1;  // times the better nodes' share, and this more
 constexpr double kFailRest = 0.5;                    // or this share of failures
 constexpr Ns kRest = kSec / 2, kMostRest = 8 * kSec; // first spell out of use, doubling
@@ -77,13 +74,6 @@
   return o == Outcome::turnedAway || o == Outcome::unreachable || o == Outcome::notSent;
 }
 
-double quantile(std::vector<double> &of, double share) {
-  if (of.empty()) return 0;
-  const auto at = of.begin() + static_cast<std::ptrdiff_t>(share * static_cast<double>(of.size()));
-  std::nth_element(of.begin(), at, of.end());
-  return *at;
-}
-
 const char *word(Verdict v) {
   constexpr const char *kWords[] = {"withdraws", "on", "hold", "back"};
   return kWords[static_cast<int>(v)];
@@ -459,24 +449,10 @@
   std::vector<double> shares;
   for (const auto *n : s.ready)
     shares.push_back(n->failShare);
-  return quantile(shares, 0.25);
-}
-
-// Guards builds on trial against the troubles of single nodes: one that fails or is slow apart from those of
-// its build that are as old says nothing of the build. Younger ones are no measure, as builds may fail with
-// age. Could hide a fault that only some nodes of a build have.
-bool Guard::apart(const Node &n) const {
-  std::vector<double> shares, times;
-  for (const auto *o : s.ready) {
-    if (o == &n || o->listing.build != n.listing.build || o->listing.start > n.listing.start + kSameAge)
-      continue;
-    shares.push_back(o->failShare);
-    if (o->latency > 0) times.push_back(o->latency);
-  }
-  if (shares.empty()) return false;
-  const double time = quantile(times, 0.5);
-  return n.failShare > kFailApart * quantile(shares, 0.25) + kFailMargin ||
-         (time > 0 && n.latency > kSlowApart * time);
+  if (shares.empty()) return 0;
+  const auto quarter = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 4);
+  std::nth_element(shares.begin(), quarter, shares.end());
+  return *quarter;
 }
 
 // ---- The mechanism ----
@@ -488,7 +464,6 @@
   const auto objective = s.d.routes[static_cast<std::size_t>(rq.route)].objective;
   if (outcome == Outcome::timedOut && 2 * took < objective * kDoubt) return; // the client left it no time
   if (outcome != Outcome::completed && (!hardFailure(outcome) || outcome == Outcome::unreachable)) return;
-  if (t.trial && apart(*t.node)) return;
   // Of a crowded node only errors speak: they show faults that need load, without blaming the build for our
   // traffic.
   if (t.crowded && outcome != Outcome::errored) return;
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -148,7 +148,6 @@
   bool doubtful(const Node &n, Ns now) const;
   void awake(Ns now);
   double betterFailShare() const;
-  bool apart(const Node &n) const;
   double crowding(Ns now) const;
   bool mayTake(const Req &rq, const Node &n) const;
   Node *twoChoices(std::vector<Node *> &from, const Req &rq, Ns now);
