--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -19,10 +19,9 @@
 constexpr double kThreshold = 8;   // to which the log of the stage's outcomes is added
 constexpr double kHoldLevel = 0.5; // share of the threshold above which no vote goes on
 constexpr int kLeastFusers = 3;
-constexpr Ns kYoung = 5 * kSec;     // outcomes this soon after a node's start are no evidence
-constexpr Ns kOnAfter = 3 * kSec;   // of quiet since the newest start, before a vote on
-constexpr double kHeard = 3;        // net move for the build, before a vote opens all to it
-constexpr double kOpenFreely = 0.3; // share of reqs that a vote may open before that
+constexpr Ns kYoung = 5 * kSec;   // outcomes this soon after a node's start are no evidence
+constexpr Ns kOnAfter = 3 * kSec; // of quiet since the newest start, before a vote on
+constexpr double kHeard = 1.5;    // net move against the build, above which no vote goes on
 constexpr Ns kRenew = 4 * kSec;
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45;
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
@@ -585,15 +584,6 @@
   return newest;
 }
 
-// Guards against voting on after hearing little: the net move heard for the build must be in step with what
-// the vote opens beyond a first part. Could delay good builds where traffic is thin.
-double Guard::needed() const {
-  const auto &caps = s.d.rollout.caps;
-  const auto next = static_cast<std::size_t>(s.news.stage) + 1;
-  const double opens = next < caps.size() ? std::min(caps[next], 1.0) : 1;
-  return kHeard * std::max(opens - kOpenFreely, 0.0) / (1 - kOpenFreely);
-}
-
 Verdict Guard::verdict(Ns now) const {
   const auto phase = s.news.phase;
   if (!s.haveNews || s.d.me >= fusers() || phase == Phase::goingBack || phase == Phase::withdrawn)
@@ -603,8 +593,8 @@
   const bool doubt = highest() > kHoldLevel * threshold();
   if (s.d.rollout.control == Control::clock) return doubt ? Verdict::hold : Verdict::withdraw;
   const auto newest = newestStart();
-  return !doubt && newest >= 0 && now - newest >= kOnAfter && s.heard <= -needed() ? Verdict::on
-                                                                                   : Verdict::withdraw;
+  return !doubt && newest >= 0 && now - newest >= kOnAfter && s.heard <= kHeard ? Verdict::on
+                                                                                : Verdict::withdraw;
 }
 
 void Guard::castVote(Ns now) {
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -169,7 +169,6 @@
   int fusers() const;
   double threshold() const;
   Ns newestStart() const;
-  double needed() const;
   Verdict verdict(Ns now) const;
   void castVote(Ns now);
   void learnRate(Ns now);
