--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -21,7 +21,6 @@
 constexpr int kLeastFusers = 3;
 constexpr Ns kYoung = 5 * kSec;   // outcomes this soon after a node's start are no evidence
 constexpr Ns kOnAfter = 3 * kSec; // of quiet since the newest start, before a vote on
-constexpr double kHeard = 1.5;    // net move against the build, above which no vote goes on
 constexpr Ns kRenew = 4 * kSec;
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45;
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
@@ -557,7 +556,7 @@
 void Guard::fuse(std::size_t channel, double moved, double outcomes) {
   auto &c = s.channels[channel];
   c.y = std::max(c.y, 0.0) + moved;
-  if (channel == 0) s.stageOutcomes += outcomes, s.heard += moved;
+  if (channel == 0) s.stageOutcomes += outcomes;
   if (s.against || c.y < threshold()) return;
   s.against = true;
   out.lines.push_back(line("build %d is judged bad by %s: y %.1f of %.1f, %.0f outcomes this stage",
@@ -593,8 +592,7 @@
   const bool doubt = highest() > kHoldLevel * threshold();
   if (s.d.rollout.control == Control::clock) return doubt ? Verdict::hold : Verdict::withdraw;
   const auto newest = newestStart();
-  return !doubt && newest >= 0 && now - newest >= kOnAfter && s.heard <= kHeard ? Verdict::on
-                                                                                : Verdict::withdraw;
+  return !doubt && newest >= 0 && now - newest >= kOnAfter ? Verdict::on : Verdict::withdraw;
 }
 
 void Guard::castVote(Ns now) {
@@ -629,7 +627,7 @@
   if (!s.haveNews || news.build != s.news.build) {
     for (auto &c : s.channels)
       c.ratio = c.unreported = c.y = 0;
-    s.stageOutcomes = s.heard = 0;
+    s.stageOutcomes = 0;
     s.against = false;
   } else if (news.stage != s.news.stage) {
     s.stageOutcomes = 0;
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -83,7 +83,6 @@
   // The mechanism.
   std::vector<Channel> channels; // all outcomes; then a route each; last, flags
   double stageOutcomes = 0;      // reported this stage
-  double heard = 0;              // net move of all outcomes, heard since the build was offered
   bool against = false;          // some y has reached the threshold for this build
 
   // The vote.
