Shed only if the typical outcome is slow, and give tries up early where some get lost

A running median must agree now, and where over 8% time out on a fleet that is not busy, tries are given up at half of the objective. It could shed late where traffic is thin.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -49,9 +49,12 @@
 constexpr double kResendShare = 0.2, kResendBurst = 10; // further tries, as a share of reqs taken
 constexpr double kHoldShare = 0.5; // of the objective that a req is held for want of a node
 constexpr Ns kHoldLook = 20 * kMs;
-constexpr double kColdBudget = 0.6; // share of the cold rule's budget that we plan to use
-constexpr double kColdLeast = 2;    // sends to a cold node in a fall span, whatever the budget
-constexpr double kLatest = 1.5;     // most that the time of tries says, as a part of their objectives
+constexpr double kColdBudget = 0.6;  // share of the cold rule's budget that we plan to use
+constexpr double kColdLeast = 2;     // sends to a cold node in a fall span, whatever the budget
+constexpr double kLatest = 1.5;      // most that the time of tries says, as a part of their objectives
+constexpr double kMedianStep = 0.02; // by which an outcome moves the median
+constexpr double kTypical = 2.5; // times the median that the mean may be, before it is a few tries' trouble
+constexpr double kLostShare = 0.08; // of tries that time out, above which none is waited for long
 constexpr double kFlowMemory = 0.5; // seconds over which tries out and outcomes are averaged
 constexpr double kShedFrom = 0.5;   // part of the objectives used up, above which reqs are shed
 constexpr double kShedNow = 0.5,
@@ -306,7 +309,7 @@
   t.node->quietSince = now;
   --s.inflight;
   health(*t.node, outcome, took, now);
-  s.finished += 1;
+  learnTypical(s.d.routes[static_cast<std::size_t>(rq.route)], outcome, took);
   judge(rq, t, outcome, took, now);
   if (outcome == Outcome::completed && s.d.rollout.noReturn && rq.key != 0) s.keyBuild[rq.key] = t.build;
   if (settled) rq.ended = true;
@@ -341,7 +344,8 @@
   t.timeout = rq.deadline - now - 2 * s.d.tick;
   const bool another = route.repeat != Repeat::nonRetriable && s.resendCredit >= 1 &&
                        static_cast<int>(rq.tries.size()) + 1 < s.d.mostTries;
-  const bool suspect = n.rests > 0 || ((n.strikes > 0 || silent(n, now)) && s.shed <= 0);
+  const bool vanishing = s.lost > kLostShare && s.shed <= 0; // tries get lost on a fleet that is not busy
+  const bool suspect = vanishing || n.rests > 0 || ((n.strikes > 0 || silent(n, now)) && s.shed <= 0);
   if (another && suspect)
     t.timeout = std::min(t.timeout, static_cast<Ns>(kDoubt * static_cast<double>(route.objective)));
   rq.tries.push_back(t);
@@ -394,9 +398,20 @@
   return std::pow(s.shed, repeat * (kShedLow + (kShedHigh - kShedLow) * worth));
 }
 
+// The median of what outcomes use up of their objectives, and the share of them that time out.
+void Guard::learnTypical(const Route &route, Outcome outcome, Ns took) {
+  s.finished += 1;
+  if (outcome != Outcome::completed && outcome != Outcome::timedOut) return;
+  const double lost = outcome == Outcome::timedOut ? 1 : 0;
+  const double part = lost > 0 ? kLatest : static_cast<double>(took) / static_cast<double>(route.objective);
+  s.typical = std::clamp(s.typical + (part > s.typical ? kMedianStep : -kMedianStep), 0.0, kLatest);
+  s.lost += kLearn / 4 * (lost - s.lost);
+}
+
 // Guards against overload, whatever the cause: by Little's law the tries out over the outcomes a second are
 // the time that tries take by now, known before the late ones come in. What is shed follows that time as a
-// part of the objectives. Could harm where many tries hang at a node or two; those soon rest.
+// part of the objectives, if the typical outcome is slow too: where some tries are lost and the others are
+// quick, shedding cures nothing. Could come late where traffic is thin.
 void Guard::learnShed(Ns now) {
   const double beat = static_cast<double>(now - s.shedAt) / static_cast<double>(kSec);
   if (beat <= 0) return;
@@ -409,7 +424,7 @@
   s.flow += weight * (s.finished / beat - s.flow);
   s.finished = 0;
   const double time = s.meanOut / std::max(s.flow, 1.0);
-  s.lateness = s.objective > 0 ? std::min(time / s.objective, kLatest) : 0;
+  s.lateness = s.objective > 0 ? std::min({time / s.objective, kTypical * s.typical, kLatest}) : 0;
   const double excess = s.lateness - kShedFrom;
   s.shedBase = std::clamp(s.shedBase + kShedGain * excess * beat, 0.0, kBaseMost);
   s.shed = std::clamp(s.shedBase + kShedNow * excess, 0.0, kShedMost);
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -173,6 +173,7 @@
   void castVote(Ns now);
   void learnRate(Ns now);
   void learnShed(Ns now);
+  void learnTypical(const Route &route, Outcome outcome, Ns took);
   double uniform();
 
   Due out;
