--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -22,6 +22,7 @@
 constexpr Ns kYoung = 5 * kSec;   // outcomes this soon after a node's start are no evidence
 constexpr Ns kOnAfter = 3 * kSec; // of quiet since the newest start, before a vote on
 constexpr Ns kRenew = 4 * kSec;
+constexpr double kLateWeight = 0.6; // of a late answer or a time-out against an error
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45;
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
 constexpr double kFlagsFirst = 0.002, kFlagPrior = 500; // flags for each answer, as if so many had been seen
@@ -493,7 +494,7 @@
   if (outcome == Outcome::completed) answered(t.build, 1, 0);
   for (const std::size_t channel : {std::size_t{0}, static_cast<std::size_t>(rq.route) + 1}) {
     if (t.build == s.news.build && s.tried) {
-      evidence(channel, failed);
+      evidence(channel, failed, outcome == Outcome::errored || outcome == Outcome::reset ? 1 : kLateWeight);
       continue;
     }
     auto &c = s.channels[channel];
@@ -502,14 +503,15 @@
   }
 }
 
-// One outcome in one channel: the whole trial, or one route, so that one failing route does not drown.
-void Guard::evidence(std::size_t channel, bool failed) {
+// One outcome in one channel: the whole trial, or one route, so that one failing route does not drown. Late
+// answers come in bursts, not independently, so each weighs less than an error.
+void Guard::evidence(std::size_t channel, bool failed, double weight) {
   auto &c = s.channels[channel];
   const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
   const double p0 =
       c.earlierSeen < kEarlierEnough ? kEarlierFirst : std::clamp(share, kEarlierLeast, kEarlierMost);
   const double p1 = 2 * p0 + 0.02; // under 1, as p0 is held
-  move(channel, failed ? std::log(p1 / p0) : std::log((1 - p1) / (1 - p0)), 1);
+  move(channel, failed ? weight * std::log(p1 / p0) : std::log((1 - p1) / (1 - p0)), 1);
 }
 
 // Flags by clients are the only trace of wrong answers. They come late and rarely, so they are counted for
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -159,7 +159,7 @@
   Step dispatch(Req &rq, Node &n, Ns now);
   void health(Node &n, Outcome outcome, Ns took, Ns now);
   void judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now);
-  void evidence(std::size_t channel, bool failed);
+  void evidence(std::size_t channel, bool failed, double weight);
   void answered(int build, double answers, double flags);
   void move(std::size_t channel, double by, double outcomes);
   void report(std::size_t channel);
