--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -19,8 +19,9 @@
 constexpr double kThreshold = 8;   // to which the log of the stage's outcomes is added
 constexpr double kHoldLevel = 0.5; // share of the threshold above which no vote goes on
 constexpr int kLeastFusers = 3;
-constexpr Ns kYoung = 5 * kSec;   // outcomes this soon after a node's start are no evidence
-constexpr Ns kOnAfter = 3 * kSec; // of quiet since the newest start, before a vote on
+constexpr Ns kYoung = 5 * kSec;         // outcomes this soon after a node's start are no evidence
+constexpr Ns kOnAfter = 3 * kSec;       // of quiet since the newest start, before a vote on
+constexpr Ns kStageOverdue = 12 * kSec; // after a stage began, for its first machine to be listed
 constexpr Ns kRenew = 4 * kSec;
 constexpr double kLateWeight = 0.6; // of a late answer or a time-out against an error
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45;
@@ -90,14 +91,12 @@
 }
 
 void put(std::vector<std::uint8_t> &to, std::uint32_t v, int n) {
-  while (n-- > 0)
-    to.push_back(static_cast<std::uint8_t>(v >> (8 * n)));
+  while (n-- > 0) to.push_back(static_cast<std::uint8_t>(v >> (8 * n)));
 }
 
 std::uint32_t get(const std::uint8_t *p, int n) {
   std::uint32_t v = 0;
-  while (n-- > 0)
-    v = v << 8 | *p++;
+  while (n-- > 0) v = v << 8 | *p++;
   return v;
 }
 
@@ -113,6 +112,10 @@
   s.rateAt = s.shedAt = s.seenAt = now;
 }
 
+const Route &Guard::routeOf(const Req &rq) const {
+  return s.d.routes[static_cast<std::size_t>(rq.route)];
+}
+
 double Guard::uniform() {
   return std::uniform_real_distribution<double>(0, 1)(s.chance);
 }
@@ -148,7 +151,7 @@
 
 bool Guard::trialOpen(const Req &rq, int build) const {
   const int stage = s.haveNews && build == s.news.build ? s.news.stage : 0;
-  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  const auto &route = routeOf(rq);
   if (stage < s.d.rollout.guardedStages && route.repeat != Repeat::retriable) return false;
   return capOf(build) > 0 && const_cast<Guard *>(this)->creditFor(rq) >= 1;
 }
@@ -193,7 +196,7 @@
 // A deduped req that may have run stays with the group that drops its repeats; a key that a build has
 // answered goes to no earlier one where there is no return.
 bool Guard::mayTake(const Req &rq, const Node &n) const {
-  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  const auto &route = routeOf(rq);
   if (route.repeat == Repeat::deduped && route.group != Group::all)
     for (const auto &t : rq.tries) {
       if (!t.mayHaveRun) continue;
@@ -204,8 +207,8 @@
   if (!s.d.rollout.noReturn || rq.key == 0) return true;
   const auto it = s.keyBuild.find(rq.key);
   if (it == s.keyBuild.end() || n.listing.build >= it->second) return true;
-  const bool goesBack =
-      it->second == s.news.build && (s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn);
+  const bool goesBack = it->second == s.news.build &&
+                        (s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn);
   return goesBack;
 }
 
@@ -274,8 +277,7 @@
   const Ns gap = now - s.seenAt;
   s.seenAt = now;
   if (gap <= kDeaf) return;
-  for (auto &n : s.nodes)
-    n.quietSince += gap;
+  for (auto &n : s.nodes) n.quietSince += gap;
   out.lines.push_back(line("stood still for %lld ms", static_cast<long long>(gap / kMs)));
 }
 
@@ -285,15 +287,14 @@
   if (!rq.counted) {
     rq.counted = true;
     bookCredit(rq);
-    const auto objective =
-        static_cast<double>(s.d.routes[static_cast<std::size_t>(rq.route)].objective) / 1e9;
+    const auto objective = static_cast<double>(routeOf(rq).objective) / 1e9;
     s.objective = s.objective > 0 ? s.objective + kLearn / 4 * (objective - s.objective) : objective;
     s.resendCredit = std::min(s.resendCredit + kResendShare, kResendBurst);
   }
   if (rq.deadline - now <= 2 * s.d.tick || (rq.tries.empty() && uniform() < shedShare(rq)))
     return giveUp(rq, now);
   if (auto *n = choose(rq, now)) return dispatch(rq, *n, now);
-  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  const auto &route = routeOf(rq);
   if (static_cast<double>(now - rq.taken) >= kHoldShare * static_cast<double>(route.objective))
     return giveUp(rq, now);
   return {Step::hold};
@@ -310,7 +311,7 @@
   t.node->quietSince = now;
   --s.inflight;
   health(*t.node, outcome, took, now);
-  learnTypical(s.d.routes[static_cast<std::size_t>(rq.route)], outcome, took);
+  learnTypical(routeOf(rq), outcome, took);
   judge(rq, t, outcome, took, now);
   if (outcome == Outcome::completed && s.d.rollout.noReturn && rq.key != 0) s.keyBuild[rq.key] = t.build;
   if (settled) rq.ended = true;
@@ -331,7 +332,7 @@
 }
 
 Step Guard::dispatch(Req &rq, Node &n, Ns now) {
-  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  const auto &route = routeOf(rq);
   Try t;
   t.node = &n;
   t.sent = now;
@@ -363,7 +364,7 @@
 // ---- Further tries and final answers ----
 
 bool Guard::mayResend(const Req &rq, Ns now) const {
-  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  const auto &route = routeOf(rq);
   if (static_cast<int>(rq.tries.size()) >= s.d.mostTries || s.resendCredit < 1) return false;
   if (rq.streaming || rq.deadline - now <= 4 * s.d.tick) return false;
   const auto ran = std::find_if(rq.tries.begin(), rq.tries.end(), [](const Try &t) { return t.mayHaveRun; });
@@ -375,7 +376,7 @@
 
 // A shed reply says that trying again is harmless.
 bool Guard::mayShed(const Req &rq) const {
-  const auto &route = s.d.routes[static_cast<std::size_t>(rq.route)];
+  const auto &route = routeOf(rq);
   if (route.repeat == Repeat::retriable) return true;
   if (route.repeat == Repeat::deduped && route.group == Group::all) return true;
   return std::none_of(rq.tries.begin(), rq.tries.end(), [](const Try &t) { return t.mayHaveRun; });
@@ -392,9 +393,8 @@
 double Guard::shedShare(const Req &rq) const {
   if (s.shed <= 0) return 0;
   double most = 0;
-  for (const auto &r : s.d.routes)
-    most = std::max(most, r.importance);
-  const double worth = s.d.routes[static_cast<std::size_t>(rq.route)].importance / most;
+  for (const auto &r : s.d.routes) most = std::max(most, r.importance);
+  const double worth = routeOf(rq).importance / most;
   const double repeat = rq.clientRepeat ? kShedRepeat : 1; // likely to be late already
   return std::pow(s.shed, repeat * (kShedLow + (kShedHigh - kShedLow) * worth));
 }
@@ -419,8 +419,7 @@
   s.shedAt = now;
   const double weight = std::min(1.0, beat / kFlowMemory);
   int live = 0, lost = 0;
-  for (const auto *n : s.ready)
-    (doubtful(*n, now) ? lost : live) += n->inflight;
+  for (const auto *n : s.ready) (doubtful(*n, now) ? lost : live) += n->inflight;
   s.meanOut += weight * ((live > 0 ? live : lost) - s.meanOut);
   s.flow += weight * (s.finished / beat - s.flow);
   s.finished = 0;
@@ -448,7 +447,8 @@
   n.strikes = failed || outcome == Outcome::turnedAway ? n.strikes + 1 : 0;
   if (n.strikes == 0 && n.failShare < kFailRest / 2) n.rests = 0;
   if (n.restUntil > now || (n.strikes < kStrikes && n.failShare < kFailRest)) return;
-  if (n.failShare < kFailApart * betterFailShare() + kFailMargin) return;
+  const bool apart = n.failShare >= kFailApart * betterFailShare() + kFailMargin;
+  if (!apart && outcome != Outcome::turnedAway) return; // one that turns away is full, or drains unlisted
   // Guards against nodes that hang, fail or are out of reach, whatever the cause, a whole zone of them too.
   // The rest ends by itself and one try at a time tells. Could harm where all nodes fail in turn: the better
   // quarter must not.
@@ -463,8 +463,7 @@
 // The share of failures below which a quarter of the nodes stay: what trouble common to all looks like.
 double Guard::betterFailShare() const {
   std::vector<double> shares;
-  for (const auto *n : s.ready)
-    shares.push_back(n->failShare);
+  for (const auto *n : s.ready) shares.push_back(n->failShare);
   if (shares.empty()) return 0;
   const auto quarter = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 4);
   std::nth_element(shares.begin(), quarter, shares.end());
@@ -477,7 +476,7 @@
 // that was released before this life began has no earlier one to be measured against: it is the measure.
 void Guard::judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now) {
   if (!s.haveNews || t.build > s.news.build) return;
-  const auto objective = s.d.routes[static_cast<std::size_t>(rq.route)].objective;
+  const auto objective = routeOf(rq).objective;
   if (outcome == Outcome::timedOut && 2 * took < objective * kDoubt) return; // the client left it no time
   if (outcome != Outcome::completed && (!hardFailure(outcome) || outcome == Outcome::unreachable)) return;
   // Of a crowded node only errors speak: they show faults that need load, without blaming the build for our
@@ -487,8 +486,8 @@
   if (silence && t.node->strikes > kStrikes)
     return; // it answers nothing: the node's trouble, whatever it runs
   // Cold nodes are slow, not faulty: errors speak at any age, and lateness once the node is warm.
-  const bool young =
-      t.node->listing.start != 0 && now - t.node->listing.start < std::min(kYoung, s.d.coldFor);
+  const bool young = t.node->listing.start != 0 &&
+                     now - t.node->listing.start < std::min(kYoung, s.d.coldFor);
   if (young && outcome != Outcome::errored) return;
   const bool failed = outcome != Outcome::completed || took > objective;
   if (outcome == Outcome::completed) answered(t.build, 1, 0);
@@ -508,8 +507,8 @@
 void Guard::evidence(std::size_t channel, bool failed, double weight) {
   auto &c = s.channels[channel];
   const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
-  const double p0 =
-      c.earlierSeen < kEarlierEnough ? kEarlierFirst : std::clamp(share, kEarlierLeast, kEarlierMost);
+  const double p0 = c.earlierSeen < kEarlierEnough ? kEarlierFirst
+                                                   : std::clamp(share, kEarlierLeast, kEarlierMost);
   const double p1 = 2 * p0 + 0.02; // under 1, as p0 is held
   move(channel, failed ? weight * std::log(p1 / p0) : std::log((1 - p1) / (1 - p0)), 1);
 }
@@ -583,8 +582,7 @@
 // The channel nearest to the threshold speaks for the build.
 double Guard::highest() const {
   double y = s.channels.front().y;
-  for (const auto &c : s.channels)
-    y = std::max(y, c.y);
+  for (const auto &c : s.channels) y = std::max(y, c.y);
   return y;
 }
 
@@ -608,6 +606,9 @@
   if (phase == Phase::released) return Verdict::withdraw;
   const bool doubt = highest() > kHoldLevel * threshold();
   if (s.d.rollout.control == Control::clock) return doubt ? Verdict::hold : Verdict::withdraw;
+  // Guards against moving on while the list lags: the stage's own machines must have been seen, or be
+  // overdue.
+  if (newestStart() < s.stageAt && now - s.stageAt < kStageOverdue) return Verdict::withdraw;
   const auto newest = newestStart();
   return !doubt && newest >= 0 && now - newest >= kOnAfter ? Verdict::on : Verdict::withdraw;
 }
@@ -638,12 +639,11 @@
   s.voteRetry = now + static_cast<Ns>((reply == Reply::timedOut ? 0.1 : 0.5 + uniform()) * 1e9);
 }
 
-void Guard::news(const News &news, Ns) {
-  const bool changed =
-      !s.haveNews || news.build != s.news.build || news.stage != s.news.stage || news.phase != s.news.phase;
+void Guard::news(const News &news, Ns now) {
+  const bool changed = !s.haveNews || news.build != s.news.build || news.stage != s.news.stage ||
+                       news.phase != s.news.phase;
   if (!s.haveNews || news.build != s.news.build) {
-    for (auto &c : s.channels)
-      c.ratio = c.unreported = c.y = 0;
+    for (auto &c : s.channels) c.ratio = c.unreported = c.y = 0;
     s.stageOutcomes = 0;
     s.against = false;
   } else if (news.stage != s.news.stage) {
@@ -653,6 +653,7 @@
   s.tried = news.phase != Phase::released || (!newer && s.tried);
   s.news = news;
   s.haveNews = true;
+  if (changed) s.stageAt = now - news.age;
   constexpr const char *kPhases[] = {"on trial", "going back", "released", "withdrawn"};
   if (changed)
     out.lines.push_back(line("build %d %s, stage %d, cap %.3f", news.build,
@@ -724,8 +725,8 @@
 void Guard::learnRate(Ns now) {
   const Ns span = now - s.rateAt;
   if (span < kSec / 2) return;
-  const auto warm =
-      std::count_if(s.ready.begin(), s.ready.end(), [&](Node *n) { return warmth(*n, now) >= 1; });
+  const auto warm = std::count_if(s.ready.begin(), s.ready.end(),
+                                  [&](Node *n) { return warmth(*n, now) >= 1; });
   const double nodes = static_cast<double>(warm);
   if (warm > 0) {
     const double rate = s.sends / nodes * 1e9 / static_cast<double>(span);
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -73,6 +73,7 @@
   int build = 0, stage = 0;
   Phase phase = Phase::trial;
   double cap = 0;
+  Ns age = 0; // since this state began
 };
 
 // What to do with a req now. hold: nothing yet, ask again after wait().
@@ -136,6 +137,7 @@
 
   Instance s; // open to tests: they build the state that they need
 private:
+  const Route &routeOf(const Req &rq) const;
   bool onTrial(int build) const;
   double capOf(int build) const;
   bool trialOpen(const Req &rq, int build) const;
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -75,6 +75,7 @@
   // The build on offer, and the exposure left to it, for the instance or by route.
   News news;
   bool haveNews = false;
+  Ns stageAt = 0;     // when its present state began
   bool tried = false; // the build on offer has been on trial in this life
   std::vector<double> credit;
   std::unordered_map<std::uint64_t, int>
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -70,8 +70,7 @@
   }
   std::vector<double> reals(const std::string &path) const {
     std::vector<double> out;
-    for (const auto w : list(path))
-      out.push_back(parse(path, w));
+    for (const auto w : list(path)) out.push_back(parse(path, w));
     return out;
   }
 
@@ -151,8 +150,7 @@
 std::uint64_t Reader::number(std::size_t n) {
   const auto *p = bytes(n);
   std::uint64_t v = 0;
-  for (std::size_t i = 0; i < n; ++i)
-    v = v << 8 | p[i];
+  for (std::size_t i = 0; i < n; ++i) v = v << 8 | p[i];
   return v;
 }
 
@@ -173,8 +171,7 @@
 }
 
 void Writer::number(std::uint64_t v, std::size_t n) {
-  while (n-- > 0)
-    buf_.push_back(static_cast<std::uint8_t>(v >> (8 * n)));
+  while (n-- > 0) buf_.push_back(static_cast<std::uint8_t>(v >> (8 * n)));
 }
 
 void Writer::text(std::string_view s) {
@@ -256,8 +253,7 @@
 void Frame::add(std::uint32_t who, Writer &records) {
   if (records.records_ == 0) return;
   buf_.push_back(go::as);
-  for (int shift = 24; shift >= 0; shift -= 8)
-    buf_.push_back(static_cast<std::uint8_t>(who >> shift));
+  for (int shift = 24; shift >= 0; shift -= 8) buf_.push_back(static_cast<std::uint8_t>(who >> shift));
   buf_.insert(buf_.end(), records.buf_.begin(), records.buf_.end());
   records_ += 1 + records.records_;
   records.buf_.clear();
@@ -341,10 +337,8 @@
   d.marshals = static_cast<int>(in.whole("peersTotal", 1, 1, 1'000'000));
   d.zone = static_cast<int>(in.whole("locality", 0, 0, 65535));
   const auto routes = in.whole("services.count", 0, 0, 256);
-  for (long i = 0; i < routes; ++i)
-    d.routes.push_back(readRoute(in, "services." + std::to_string(i) + "."));
-  for (const auto f : in.list("telemetry.fields"))
-    d.loadFields.push_back(loadField(f));
+  for (long i = 0; i < routes; ++i) d.routes.push_back(readRoute(in, "services." + std::to_string(i) + "."));
+  for (const auto f : in.list("telemetry.fields")) d.loadFields.push_back(loadField(f));
   const auto tenants = in.whole("parties.count", 0, 0, 65536);
   for (long i = 0; i < tenants; ++i)
     d.tenantRps.push_back(in.real("parties." + std::to_string(i) + ".quotaRps", 0));
--- a/src/wirehost/main.cpp
+++ b/src/wirehost/main.cpp
@@ -73,8 +73,7 @@
   m_ = nullptr;
   out_.begin(head.number);
   try {
-    for (std::uint32_t i = 0; i < head.records; ++i)
-      record(in);
+    for (std::uint32_t i = 0; i < head.records; ++i) record(in);
     if (in.left() != 0) in.fail(std::to_string(in.left()) + " bytes after the last record");
     for (const auto who : touched_) {
       const auto it = marshals_.find(who);
@@ -151,8 +150,8 @@
   const auto n = in.u32();
   const auto *text = in.bytes(n);
   if (who_ < 0) in.fail("a record before any On");
-  auto fresh =
-      std::make_unique<Marshal>(readDeployment({reinterpret_cast<const char *>(text), n}), seed, now_);
+  auto fresh = std::make_unique<Marshal>(readDeployment({reinterpret_cast<const char *>(text), n}), seed,
+                                         now_);
   m_ = fresh.get();
   marshals_[static_cast<std::uint32_t>(who_)] = std::move(fresh);
   here(in);
@@ -164,8 +163,7 @@
   if (no >= std::size(lists_)) in.fail("list number " + std::to_string(no) + " is above 15");
   if (n > in.left() / 28) in.fail("impossible count of list entries: " + std::to_string(n));
   lists_[no].resize(n);
-  for (auto &e : lists_[no])
-    e.listing = readListing(in, e.node);
+  for (auto &e : lists_[no]) e.listing = readListing(in, e.node);
 }
 
 void Host::directoryUpdate(Reader &in) {
@@ -291,8 +289,7 @@
 
 std::vector<float> &Host::loads(Reader &in) {
   loads_.resize(in.u8());
-  for (auto &v : loads_)
-    v = in.f32();
+  for (auto &v : loads_) v = in.f32();
   return loads_;
 }
 
@@ -318,7 +315,7 @@
   const bool answer = in.u8() != 0;
   News news;
   news.stage = in.u8();
-  in.u32();
+  news.age = Ns{in.u32()} * 1000;
   const auto reply = replyOf(in.u8(), in);
   news.phase = phaseOf(in.u8(), in);
   news.cap = static_cast<double>(in.f32());
@@ -349,15 +346,11 @@
   who_ = who;
   m.touched = false;
   const auto due = m.guard.due(now_);
-  for (const auto &line : due.lines)
-    m.out.log(line);
+  for (const auto &line : due.lines) m.out.log(line);
   if (due.watchList) m.out.watch();
-  for (const auto &note : due.notes)
-    m.out.peer(note.to, note.bytes);
-  for (const auto &vote : due.votes)
-    m.out.opinion(vote);
-  for (const auto *n : due.probes)
-    m.out.touch(n->door);
+  for (const auto &note : due.notes) m.out.peer(note.to, note.bytes);
+  for (const auto &vote : due.votes) m.out.opinion(vote);
+  for (const auto *n : due.probes) m.out.touch(n->door);
   const auto wait = m.guard.wait(now_);
   if (m.tickAt == 0 || now_ + wait < m.tickAt) {
     m.out.wake(wait, kTickMark);
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -38,10 +38,8 @@
 struct Bed {
   explicit Bed(Deployment d = smallDeployment(), int old = 2, int young = 0, Phase phase = Phase::trial)
       : guard(std::move(d), 7, kNow) {
-    for (int i = 0; i < old; ++i)
-      list({.build = 1});
-    for (int i = 0; i < young; ++i)
-      list({.build = 2});
+    for (int i = 0; i < old; ++i) list({.build = 1});
+    for (int i = 0; i < young; ++i) list({.build = 2});
     guard.s.news = young > 0 ? News{2, 0, phase, 0.1} : News{1, 2, Phase::released, 1};
     guard.s.haveNews = true;
     guard.s.tried = young > 0;
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -47,16 +47,14 @@
 
 static void firstBuildIsTheMeasure() { // found on the first incidents: it was judged with nothing to compare
   Bed bed;
-  for (int i = 0; i < 50; ++i)
-    outcome(bed, bed.node(0), Outcome::errored);
+  for (int i = 0; i < 50; ++i) outcome(bed, bed.node(0), Outcome::errored);
   assert(bed.guard.s.channels[0].y == 0 && bed.guard.s.channels[0].earlierFailed > 40);
 }
 
 static void aStepIsReportedToEachFuser() {
   Bed bed(smallDeployment(), 1, 1);
   bed.guard.s.d.me = 1;
-  for (int i = 0; i < 2; ++i)
-    outcome(bed, bed.node(1), Outcome::errored);
+  for (int i = 0; i < 2; ++i) outcome(bed, bed.node(1), Outcome::errored);
   const auto due = bed.guard.due(kNow);
   assert(due.notes.size() == 4 && due.notes[0].to == 0 &&
          due.notes[1].to == 2); // pooled and route, two peers
@@ -66,8 +64,7 @@
 static void notesAreFusedAndMalformedOnesDropped() {
   Bed from(smallDeployment(), 1, 1), to(smallDeployment(), 1, 1);
   from.guard.s.d.me = 2;
-  for (int i = 0; i < 2; ++i)
-    outcome(from, from.node(1), Outcome::errored);
+  for (int i = 0; i < 2; ++i) outcome(from, from.node(1), Outcome::errored);
   const auto note = from.guard.due(kNow).notes.at(0).bytes;
   to.guard.note(2, note.data(), note.size(), kNow);
   assert(to.guard.s.channels[0].y > 2 && to.guard.s.stageOutcomes == 2);
@@ -82,8 +79,7 @@
 
 static void badBuildIsVotedBack() {
   Bed bed(smallDeployment(), 1, 1);
-  for (int i = 0; i < 20; ++i)
-    outcome(bed, bed.node(1), Outcome::errored);
+  for (int i = 0; i < 20; ++i) outcome(bed, bed.node(1), Outcome::errored);
   const auto votes = bed.guard.due(kNow).votes;
   assert(votes.size() == 1 && votes[0].verdict == Verdict::back && votes[0].build == 2);
   bed.guard.voteAnswered(Reply::ok, kNow);
@@ -102,8 +98,7 @@
   auto d = smallDeployment();
   d.rollout.foundShare = 0.3;
   Bed bed(d, 1, 1);
-  for (int i = 0; i < 8; ++i)
-    bed.guard.flagged(bed.node(1), 0, kSec, kNow);
+  for (int i = 0; i < 8; ++i) bed.guard.flagged(bed.node(1), 0, kSec, kNow);
   const auto votes = bed.guard.due(kNow).votes;
   assert(votes.size() == 1 && votes[0].verdict == Verdict::back);
 }
@@ -127,7 +122,18 @@
   assert(bed.guard.due(kNow + 2 * kSec).votes.size() == 1);
 }
 
+static void noVoteOnBeforeTheStagesMachinesAreSeen() { // found on a day with a late list
+  Bed bed(smallDeployment(), 1, 1);
+  bed.node(1).listing.start = kNow - 10 * kSec;
+  bed.guard.s.stageAt = kNow - 5 * kSec;
+  assert(bed.guard.due(kNow).votes.empty());
+  bed.node(1).listing.start = kNow - 4 * kSec;
+  const auto votes = bed.guard.due(kNow + kMs).votes;
+  assert(votes.size() == 1 && votes[0].verdict == Verdict::on);
+}
+
 int main() {
+  noVoteOnBeforeTheStagesMachinesAreSeen();
   failuresMoveTheRatioByTheDesignsTerms();
   lateAnswersFailAndTurnedAwayOnesSayNothing();
   youngNodesAreNoEvidence();
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -24,8 +24,7 @@
     assert(bed.guard.where(rq, kNow).node != &bed.node(0));
   }
   const Ns later = kNow + kSec;
-  for (std::size_t i = 1; i < 4; ++i)
-    bed.node(i).inflight = 200;
+  for (std::size_t i = 1; i < 4; ++i) bed.node(i).inflight = 200;
   bool back = false;
   for (int i = 0; i < 20; ++i) {
     Req rq = Bed::req();
@@ -81,8 +80,7 @@
   Bed bed;
   bed.guard.s.shedBase = bed.guard.s.shed = 0.8;
   bed.guard.s.objective = 0.5;
-  for (Ns t = kNow; t < kNow + 6 * kSec; t += 50 * kMs)
-    bed.guard.due(t);
+  for (Ns t = kNow; t < kNow + 6 * kSec; t += 50 * kMs) bed.guard.due(t);
   assert(bed.guard.s.shed == 0);
 }
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -105,8 +105,7 @@
 
 static void unnamedBuildCountsAsFirstStage() {
   Bed bed(smallDeployment(), 5);
-  for (int i = 0; i < 5; ++i)
-    bed.list({.build = 3});
+  for (int i = 0; i < 5; ++i) bed.list({.build = 3});
   int trial = 0;
   for (int i = 0; i < 100; ++i) {
     Req rq = Bed::req();
