--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -168,20 +168,12 @@
 // Guards against pushing over a cold node, also when many come back at once: marshals are held to what a warm
 // node gets from them, so their sum stays inside the budget without their knowing of each other.
 bool Guard::coldRoom(const Node &n, Ns now) const {
-  if (warmth(n, now) >= 1) return true;
-  return sharesSent(n, now) <= std::max(kColdBudget * s.d.fallMultiple, kColdLeast / sharesExpected(n, now));
-}
-
-// Tries that a node as warm as this one gets from this marshal in a fall span.
-double Guard::sharesExpected(const Node &n, Ns now) const {
-  const double span = static_cast<double>(s.d.fallSpan) / static_cast<double>(kSec);
-  return std::max(warmth(n, now) * s.warmRate * span, 1e-3);
-}
-
-// Tries sent to a node lately, the next one included, as a multiple of that.
-double Guard::sharesSent(const Node &n, Ns now) const {
-  const double faded = std::exp(-static_cast<double>(now - n.sentAt) / static_cast<double>(s.d.fallSpan));
-  return (n.sentLately * faded + 1) / sharesExpected(n, now);
+  const double warm = warmth(n, now);
+  if (warm >= 1) return true;
+  const double span = static_cast<double>(s.d.fallSpan);
+  const double sent = n.sentLately * std::exp(-static_cast<double>(now - n.sentAt) / span);
+  const double budget = kColdBudget * s.d.fallMultiple * warm * s.warmRate * span / static_cast<double>(kSec);
+  return sent + 1 <= std::max(budget, kColdLeast);
 }
 
 // Own load: tries out here and what the node last reported, dearer where tries take longer than elsewhere,
@@ -264,10 +256,7 @@
   // Guards the judging: past the others' crowding, late answers would speak of our traffic, not of the build.
   // On the way back the cap is only for what the returning nodes can't bear yet.
   const double crowd = s.news.phase == Phase::trial ? kTrialCrowd : kBackCrowd;
-  // By rate as well, since a marshal with little traffic never has many tries out.
-  const bool crowded = (t->inflight + 1) / warmth(*t, now) > crowd * crowding(now) ||
-                       sharesSent(*t, now) > std::max(crowd, 1 / sharesExpected(*t, now));
-  return crowded ? m : t;
+  return (t->inflight + 1) / warmth(*t, now) <= crowd * crowding(now) ? t : m;
 }
 
 // Own tries out, and the one to come, at the mean warm node of the builds that are not on trial.
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -145,8 +145,6 @@
   void bookCredit(const Req &rq);
   double warmth(const Node &n, Ns now) const;
   bool coldRoom(const Node &n, Ns now) const;
-  double sharesExpected(const Node &n, Ns now) const;
-  double sharesSent(const Node &n, Ns now) const;
   double load(const Node &n, Ns now) const;
   bool silent(const Node &n, Ns now) const;
   bool doubtful(const Node &n, Ns now) const;
