--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -259,11 +259,10 @@
   return (t->inflight + 1) / warmth(*t, now) <= crowd * crowding(now) ? t : m;
 }
 
-// Own tries out, and the one to come, at the mean warm node of the builds that are not on trial.
+// Tries out at the mean warm node of all builds, and the one to come.
 double Guard::crowding(Ns now) const {
   double tries = 0, nodes = 0;
   for (const auto *n : s.ready) {
-    if (onTrial(n->listing.build)) continue;
     tries += n->inflight;
     nodes += warmth(*n, now);
   }
