Measure the trial's crowding against all nodes while there is room

On a calm fleet a late stage now meets its load; on a busy one the bound stays with the earlier nodes' mean.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -41,6 +41,7 @@
 constexpr double kCrossWeight = 10; // per unit of cross-zone price, likewise
 constexpr double kBackCrowd = 0.5;  // the same for a build on its way back
 constexpr double kFairCrowd = 1.2;  // above it, late answers are no evidence
+constexpr double kRoom = 0.25;      // part of the objectives used up, below which there is room
 constexpr double kTrialCrowd = 1.5; // the trial's nodes may be this many times as crowded as the others
 constexpr int kStrikes = 3;         // hard failures in a row that put a node out of use
 constexpr double kFailApart = 2, kFailMargin = 0.1;  // times the better nodes' share, and this more
@@ -259,10 +260,12 @@
   return (t->inflight + 1) / warmth(*t, now) <= crowd * crowding(now) ? t : m;
 }
 
-// Tries out at the mean warm node of all builds, and the one to come.
+// Tries out at the mean warm node, and the one to come: of all builds while there is room, so that a late
+// stage meets its load, and of those not on trial on a busy fleet.
 double Guard::crowding(Ns now) const {
   double tries = 0, nodes = 0;
   for (const auto *n : s.ready) {
+    if (s.lateness > kRoom && onTrial(n->listing.build)) continue;
     tries += n->inflight;
     nodes += warmth(*n, now);
   }
