--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -16,6 +16,8 @@
 
 // The mechanism's values, as the design page starts them.
 constexpr double kStep = 1.5;      // net move of the ratio that is reported
+constexpr double kLeftOver = 0.4;  // a smaller move that is reported all the same
+constexpr Ns kFlush = kSec;        // so often
 constexpr double kThreshold = 8;   // to which the log of the stage's outcomes is added
 constexpr double kHoldLevel = 0.5; // share of the threshold above which no vote goes on
 constexpr int kLeastFusers = 3;
@@ -60,10 +62,8 @@
 constexpr double kLostShare = 0.08; // of tries that time out, above which none is waited for long
 constexpr double kFlowMemory = 0.5; // seconds over which tries out and outcomes are averaged
 constexpr double kShedFrom = 0.5;   // part of the objectives used up, above which reqs are shed
-constexpr double kShedNow = 0.5,
-                 kShedGain = 0.4; // share shed for each unit above, at once and more each second
-constexpr double kShedMost = 0.95,
-                 kBaseMost = 0.7;               // some are always let in, to tell when the trouble is over
+constexpr double kShedNow = 0.5, kShedGain = 0.4; // share shed for each unit above: at once, and each second
+constexpr double kShedMost = 0.95, kBaseMost = 0.7; // some are let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
 constexpr double kShedRepeat = 0.5;             // on the exponent, for a client's repeat
 constexpr double kShedSay = 0.05;
@@ -207,10 +207,7 @@
     }
   if (!s.d.rollout.noReturn || rq.key == 0) return true;
   const auto it = s.keyBuild.find(rq.key);
-  if (it == s.keyBuild.end() || n.listing.build >= it->second) return true;
-  const bool goesBack = it->second == s.news.build &&
-                        (s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn);
-  return goesBack;
+  return it == s.keyBuild.end() || n.listing.build >= it->second;
 }
 
 // A node that rests, is silent, or has come back from a rest and has not answered yet while a try is out
@@ -593,13 +590,6 @@
   return channel + 1 == s.channels.size() ? "flags" : line("route %d", static_cast<int>(channel) - 1);
 }
 
-Ns Guard::newestStart() const {
-  Ns newest = -1;
-  for (const auto *n : s.ready)
-    if (n->listing.build == s.news.build) newest = std::max(newest, n->listing.start);
-  return newest;
-}
-
 Verdict Guard::verdict(Ns now) const {
   const auto phase = s.news.phase;
   if (!s.haveNews || s.d.me >= fusers() || phase == Phase::goingBack || phase == Phase::withdrawn)
@@ -608,10 +598,12 @@
   if (phase == Phase::released) return Verdict::withdraw;
   const bool doubt = highest() > kHoldLevel * threshold();
   if (s.d.rollout.control == Control::clock) return doubt ? Verdict::hold : Verdict::withdraw;
+  Ns newest = -1;
+  for (const auto *n : s.ready)
+    if (n->listing.build == s.news.build) newest = std::max(newest, n->listing.start);
   // Guards against moving on while the list lags: the stage's own machines must have been seen, or be
   // overdue.
-  if (newestStart() < s.stageAt && now - s.stageAt < kStageOverdue) return Verdict::withdraw;
-  const auto newest = newestStart();
+  if (newest < s.stageAt && now - s.stageAt < kStageOverdue) return Verdict::withdraw;
   return !doubt && newest >= 0 && now - newest >= kOnAfter ? Verdict::on : Verdict::withdraw;
 }
 
@@ -653,6 +645,8 @@
   }
   const bool newer = !s.haveNews || news.build != s.news.build;
   s.tried = news.phase != Phase::released || (!newer && s.tried);
+  if (news.phase == Phase::goingBack || news.phase == Phase::withdrawn) // its keys may return
+    std::erase_if(s.keyBuild, [&](const auto &key) { return key.second >= news.build; });
   s.news = news;
   s.haveNews = true;
   if (changed) s.stageAt = now - news.age;
@@ -742,6 +736,10 @@
   awake(now);
   learnRate(now);
   learnShed(now);
+  // Guards against steps that pile up unsent at many marshals: what is left over goes out after a while.
+  for (std::size_t i = 0; now >= s.flushAt && i < s.channels.size(); ++i)
+    if (std::abs(s.channels[i].ratio) >= kLeftOver) report(i);
+  if (now >= s.flushAt) s.flushAt = now + kFlush;
   castVote(now);
   if (s.d.listAsked && !s.listCallOpen && now >= s.listCallAt) {
     out.watchList = true;
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -170,7 +170,6 @@
   std::string channelName(std::size_t channel) const;
   int fusers() const;
   double threshold() const;
-  Ns newestStart() const;
   Verdict verdict(Ns now) const;
   void castVote(Ns now);
   void learnRate(Ns now);
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -5,9 +5,9 @@
 #include "guard/guard.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <random>
-#include <unordered_map>
 
 namespace myrtlehead {
 
@@ -78,11 +78,11 @@
   Ns stageAt = 0;     // when its present state began
   bool tried = false; // the build on offer has been on trial in this life
   std::vector<double> credit;
-  std::unordered_map<std::uint64_t, int>
-      keyBuild; // noReturn: the build that last answered a key; looked up only
+  std::map<std::uint64_t, int> keyBuild; // noReturn: the build that last answered a key
 
   // The mechanism.
   std::vector<Channel> channels; // all outcomes; then a route each; last, flags
+  Ns flushAt = 0;                // when what is left over is reported next
   double stageOutcomes = 0;      // reported this stage
   bool against = false;          // some y has reached the threshold for this build
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -133,7 +133,7 @@
   Req rq = Bed::req();
   rq.key = 5;
   assert(bed.guard.where(rq, kNow).what == Step::hold); // no exposure is left, and build 1 is closed to it
-  bed.guard.s.news.phase = Phase::goingBack;
+  bed.guard.news({2, 0, Phase::goingBack, 0}, kNow);
   assert(bed.guard.where(rq, kNow).node->listing.build == 1);
 }
 
