--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -49,9 +49,8 @@
 constexpr double kFailApart = 2, kFailMargin = 0.1;  // times the better nodes' share, and this more
 constexpr double kFailRest = 0.5;                    // or this share of failures
 constexpr Ns kRest = kSec / 2, kMostRest = 8 * kSec; // first spell out of use, doubling
-constexpr double kBusy = 2;      // reqs that a node with all its cores busy counts as holding
-constexpr Ns kReportLife = kSec; // an older load report says nothing
-constexpr double kDoubt = 0.5;   // share of the objective that a try may take at a node that has just failed
+constexpr Ns kReportLife = kSec;                     // an older load report says nothing
+constexpr double kDoubt = 0.5; // share of the objective that a try may take at a node that has just failed
 constexpr double kResendShare = 0.2, kResendBurst = 10; // further tries, as a share of reqs taken
 constexpr double kHoldShare = 0.5; // of the objective that a req is held for want of a node
 constexpr Ns kHoldLook = 20 * kMs;
@@ -701,17 +700,14 @@
   s.listCallAt = now + static_cast<Ns>((0.5 + uniform()) * static_cast<double>(kListRetry));
 }
 
-// What waits there and how busy its cores are; what it holds in all only where nothing else is told.
 void Guard::loadReport(Node &n, const std::vector<float> &values, Ns now) {
-  double load = 0;
   for (std::size_t i = 0; i < std::min(values.size(), s.d.loadFields.size()); ++i) {
-    const auto field = s.d.loadFields[i];
     if (!std::isfinite(values[i])) return;
-    const double weight = field == LoadField::waiting ? 1 : field == LoadField::cpu ? kBusy : 0;
-    load += std::max(0.0f, values[i]) * (values.size() == 1 && field == LoadField::active ? 1 : weight);
+    if (s.d.loadFields[i] != LoadField::waiting && s.d.loadFields[i] != LoadField::active) continue;
+    n.reported = std::max(0.0, static_cast<double>(values[i]));
+    n.reportedAt = now;
+    if (s.d.loadFields[i] == LoadField::waiting) return; // says more than what is held
   }
-  n.reported = load;
-  n.reportedAt = now;
 }
 
 void Guard::probed(Node &, bool, Ns) {}
