--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -484,8 +484,9 @@
   // Of a crowded node only errors speak: they show faults that need load, without blaming the build for our
   // traffic.
   if (t.crowded && outcome != Outcome::errored) return;
-  // Guards builds against the troubles of single nodes: a run of failures at one node is one observation.
-  if (hardFailure(outcome) && t.node->strikes > 1) return;
+  const bool silence = outcome == Outcome::timedOut || outcome == Outcome::reset;
+  if (silence && t.node->strikes > kStrikes)
+    return; // it answers nothing: the node's trouble, whatever it runs
   // Cold nodes are slow, not faulty: errors speak at any age, and lateness once the node is warm.
   const bool young = t.node->listing.start != 0 &&
                      now - t.node->listing.start < std::min(kYoung, s.d.coldFor);
