--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -59,9 +59,8 @@
 constexpr double kLatest = 1.5;      // most that the time of tries says, as a part of their objectives
 constexpr double kMedianStep = 0.02; // by which an outcome moves the median
 constexpr double kTypical = 2.5; // times the median that the mean may be, before it is a few tries' trouble
-constexpr double kLostShare = 0.08; // of tries that time out, above which none is waited for long
-constexpr double kFlowMemory = 0.5; // seconds over which tries out and outcomes are averaged
-constexpr double kShedFrom = 0.5;   // part of the objectives used up, above which reqs are shed
+constexpr double kFlowMemory = 0.5;               // seconds over which tries out and outcomes are averaged
+constexpr double kShedFrom = 0.5;                 // part of the objectives used up, above which reqs are shed
 constexpr double kShedNow = 0.5, kShedGain = 0.4; // share shed for each unit above: at once, and each second
 constexpr double kShedMost = 0.95, kBaseMost = 0.7; // some are let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
@@ -349,9 +348,7 @@
   t.timeout = rq.deadline - now - 2 * s.d.tick;
   const bool another = route.repeat != Repeat::nonRetriable && s.resendCredit >= 1 &&
                        static_cast<int>(rq.tries.size()) + 1 < s.d.mostTries;
-  const bool vanishing = s.lost > kLostShare &&
-                         s.typical < kRoom; // tries get lost on a fleet that is not busy
-  const bool suspect = vanishing || n.rests > 0 || ((n.strikes > 0 || silent(n, now)) && s.shed <= 0);
+  const bool suspect = n.rests > 0 || ((n.strikes > 0 || silent(n, now)) && s.shed <= 0);
   if (another && suspect)
     t.timeout = std::min(t.timeout, static_cast<Ns>(kDoubt * static_cast<double>(route.objective)));
   rq.tries.push_back(t);
@@ -402,13 +399,12 @@
   return std::pow(s.shed, repeat * (kShedLow + (kShedHigh - kShedLow) * worth));
 }
 
-// The median of what outcomes use up of their objectives, and the share of them that time out.
+// The median of what outcomes use up of their objectives.
 void Guard::learnTypical(const Route &route, Outcome outcome, Ns took) {
   if (outcome != Outcome::completed && outcome != Outcome::timedOut) return;
-  const double lost = outcome == Outcome::timedOut ? 1 : 0;
-  const double part = lost > 0 ? kLatest : static_cast<double>(took) / static_cast<double>(route.objective);
+  const double used = static_cast<double>(took) / static_cast<double>(route.objective);
+  const double part = outcome == Outcome::timedOut ? kLatest : used;
   s.typical = std::clamp(s.typical + (part > s.typical ? kMedianStep : -kMedianStep), 0.0, kLatest);
-  s.lost += kLearn / 4 * (lost - s.lost);
 }
 
 // Guards against overload, whatever the cause: by Little's law the tries out over the outcomes a second are
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -103,7 +103,6 @@
   double meanOut = 0, flow = 0; // tries out, and outcomes a second
   double lateness = 0;          // time that tries take, as a part of the objectives
   double typical = 0;           // the median of the same, outcome by outcome
-  double lost = 0;              // share of outcomes that are time-outs
   double shedBase = 0;          // the part of shed that builds up
   double shed = 0;              // share of reqs to shed
   Ns shedAt = 0;
