Let reports state running totals of the sender's life

Guards against lost, repeated and overtaken notes and restarted fusers, which hear the totals with the next note. The form of a note moves to its own file.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -4,6 +4,7 @@
 // here. The mechanism is docs/design.md's: own log-likelihood ratio on trial outcomes, reports to the fusers
 // when it has moved a step, the fusers' CUSUM, and their votes.
 #include "guard/guard.h"
+#include "guard/report.h"
 
 #include <algorithm>
 #include <cmath>
@@ -68,9 +69,6 @@
 constexpr double kShedSay = 0.05;
 constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs;
 
-constexpr std::uint8_t kNoteVersion = 1;
-constexpr std::size_t kNoteSize = 14;
-
 bool hardFailure(Outcome o) {
   return o == Outcome::errored || o == Outcome::timedOut || o == Outcome::reset || o == Outcome::unreachable;
 }
@@ -90,16 +88,6 @@
   return text;
 }
 
-void put(std::vector<std::uint8_t> &to, std::uint32_t v, int n) {
-  while (n-- > 0) to.push_back(static_cast<std::uint8_t>(v >> (8 * n)));
-}
-
-std::uint32_t get(const std::uint8_t *p, int n) {
-  std::uint32_t v = 0;
-  while (n-- > 0) v = v << 8 | *p++;
-  return v;
-}
-
 } // namespace
 
 Guard::Guard(Deployment deployment, std::uint64_t seed, Ns now) {
@@ -108,6 +96,8 @@
   // What the last life of this marshal sent to a trial is unknown, so no free try is assumed left.
   s.credit.assign(s.d.rollout.capByRoute ? std::max<std::size_t>(s.d.routes.size(), 1) : 1, 0.0);
   s.channels.resize(s.d.routes.size() + 2);
+  for (auto &c : s.channels) c.heard.resize(static_cast<std::size_t>(s.d.marshals));
+  s.life = 1 + s.chance() % 0xffff;
   s.resendCredit = kResendBurst;
   s.rateAt = s.shedAt = s.seenAt = now;
 }
@@ -525,7 +515,7 @@
   const double f0 = std::clamp((c.earlierFailed + kFlagPrior * kFlagsFirst) / (c.earlierSeen + kFlagPrior),
                                kFlagsLeast, kFlagsMost);
   const double f1 = f0 + kWrongShare * s.d.rollout.foundShare;
-  move(s.channels.size() - 1, flags * std::log(f1 / f0) - answers * (f1 - f0), answers);
+  move(s.channels.size() - 1, flags * std::log(f1 / f0) - answers * (f1 - f0), answers + flags);
 }
 
 void Guard::move(std::size_t channel, double by, double outcomes) {
@@ -542,12 +532,14 @@
   return s.d.peers ? std::min(most, s.d.marshals) : s.d.marshals;
 }
 
+// Guards against lost, repeated and late notes and against restarted fusers: a note states the totals of this
+// life.
 void Guard::report(std::size_t channel) {
   auto &c = s.channels[channel];
-  std::vector<std::uint8_t> bytes{kNoteVersion, static_cast<std::uint8_t>(channel)};
-  put(bytes, static_cast<std::uint32_t>(s.news.build), 4);
-  put(bytes, static_cast<std::uint32_t>(std::lround(c.ratio * 1e4)), 4);
-  put(bytes, static_cast<std::uint32_t>(c.unreported), 4);
+  c.total += c.ratio;
+  c.outcomes += c.unreported;
+  const auto bytes = pack({static_cast<std::uint32_t>(channel), static_cast<std::uint32_t>(s.news.build),
+                           s.life, c.total, c.outcomes});
   for (int to = 0; s.d.peers && to < fusers(); ++to)
     if (to != s.d.me) out.notes.push_back({to, bytes});
   if (s.d.me < fusers()) fuse(channel, c.ratio, c.unreported);
@@ -555,12 +547,15 @@
 }
 
 void Guard::note(int from, const std::uint8_t *bytes, std::size_t n, Ns) {
-  if (n != kNoteSize || bytes[0] != kNoteVersion || from == s.d.me || s.d.me >= fusers() || !s.haveNews)
+  const auto said = unpack(bytes, n);
+  if (!said || from < 0 || from >= s.d.marshals || from == s.d.me || s.d.me >= fusers() || !s.haveNews)
     return;
-  const std::size_t channel = bytes[1];
-  const auto build = get(bytes + 2, 4), moved = get(bytes + 6, 4), outcomes = get(bytes + 10, 4);
-  if (build != static_cast<std::uint32_t>(s.news.build) || channel >= s.channels.size()) return;
-  fuse(channel, static_cast<std::int32_t>(moved) / 1e4, outcomes);
+  if (said->channel >= s.channels.size() || said->build != static_cast<std::uint32_t>(s.news.build)) return;
+  auto &heard = s.channels[said->channel].heard[static_cast<std::size_t>(from)];
+  if (said->life != heard.life) heard = {said->channel, said->build, said->life, 0, 0};
+  if (said->outcomes <= heard.outcomes) return; // repeated, or overtaken by a later one
+  fuse(said->channel, said->total - heard.total, said->outcomes - heard.outcomes);
+  heard = *said;
 }
 
 double Guard::threshold() const {
@@ -636,7 +631,10 @@
   const bool changed = !s.haveNews || news.build != s.news.build || news.stage != s.news.stage ||
                        news.phase != s.news.phase;
   if (!s.haveNews || news.build != s.news.build) {
-    for (auto &c : s.channels) c.ratio = c.unreported = c.y = 0;
+    for (auto &c : s.channels) {
+      c.ratio = c.unreported = c.y = c.total = c.outcomes = 0;
+      c.heard.assign(static_cast<std::size_t>(s.d.marshals), {});
+    }
     s.stageOutcomes = 0;
     s.against = false;
   } else if (news.stage != s.news.stage) {
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "guard/guard.h"
+#include "guard/report.h"
 
 #include <deque>
 #include <map>
@@ -54,11 +55,13 @@
   Ns reportedAt = 0;
 };
 
-// One stream of evidence: own log-likelihood ratio since the last report, the fuser's CUSUM, and the earlier
-// build's outcomes, decaying.
+// One stream of evidence: own log-likelihood ratio since the last report, own totals reported for this build,
+// the fuser's CUSUM with what it has heard from each marshal, and the earlier build's outcomes, decaying.
 struct Channel {
   double ratio = 0, unreported = 0;
+  double total = 0, outcomes = 0;
   double y = 0;
+  std::vector<Report> heard;
   double earlierFailed = 0, earlierSeen = 0;
 };
 
@@ -81,6 +84,7 @@
   std::map<std::uint64_t, int> keyBuild; // noReturn: the build that last answered a key
 
   // The mechanism.
+  std::uint32_t life = 0;        // tells this life's notes from an earlier one's
   std::vector<Channel> channels; // all outcomes; then a route each; last, flags
   Ns flushAt = 0;                // when what is left over is reported next
   double stageOutcomes = 0;      // reported this stage
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -68,6 +68,8 @@
   const auto note = from.guard.due(kNow).notes.at(0).bytes;
   to.guard.note(2, note.data(), note.size(), kNow);
   assert(to.guard.s.channels[0].y > 2 && to.guard.s.stageOutcomes == 2);
+  to.guard.note(2, note.data(), note.size(), kNow); // a repeat does no harm
+  assert(to.guard.s.stageOutcomes == 2);
   const double before = to.guard.s.channels[0].y;
   auto bad = note;
   bad[0] = 99;
@@ -77,6 +79,16 @@
   assert(to.guard.s.channels[0].y == before);
 }
 
+static void restartedFuserHearsTheTotals() {
+  Bed from(smallDeployment(), 1, 10), late(smallDeployment(), 1, 1);
+  from.guard.s.d.me = 2;
+  for (std::size_t i = 1; i <= 10; ++i) outcome(from, from.node(i), Outcome::errored);
+  const auto notes = from.guard.due(kNow).notes;
+  const auto &last = notes.at(notes.size() - 4).bytes; // pooled and route, to two fusers each
+  late.guard.note(2, last.data(), last.size(), kNow);
+  assert(last[1] == 0 && late.guard.s.channels[0].y > 8 && late.guard.s.stageOutcomes == 10);
+}
+
 static void badBuildIsVotedBack() {
   Bed bed(smallDeployment(), 1, 1);
   for (int i = 0; i < 20; ++i) outcome(bed, bed.node(1), Outcome::errored);
@@ -141,6 +153,7 @@
   firstBuildIsTheMeasure();
   aStepIsReportedToEachFuser();
   notesAreFusedAndMalformedOnesDropped();
+  restartedFuserHearsTheTotals();
   badBuildIsVotedBack();
   failingRouteDoesNotDrown();
   flagsConvictWrongAnswers();
