Count every answer against flags, hear tallies where peers may not speak, keep only what is read

Answers of young and crowded nodes were left out while their flags counted; the platform's tallies were not heard at all. Votes now share the platform's allowance. Settings that sway no decision are no longer kept (tenants' shares, hints, sizes, second copies, probes: open work).

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -155,8 +155,8 @@
   return std::min(1.0, s.d.coldFrom + (1 - s.d.coldFrom) * age / static_cast<double>(s.d.coldFor));
 }
 
-// Guards against pushing over a cold node, also when many come back at once: marshals are held to what a warm
-// node gets from them, so their sum stays inside the budget without their knowing of each other.
+// Guards against pushing over a cold node, also when many come back at once: each marshal is held to what a
+// warm node completes for it, so their sum keeps the budget without their knowing of each other.
 bool Guard::coldRoom(const Node &n, Ns now) const {
   const double warm = warmth(n, now);
   if (warm >= 1) return true;
@@ -258,7 +258,7 @@
 
 // ---- The three questions ----
 
-// Guards against spells in which this marshal itself stood still: then no node was silent, we were deaf.
+// Guards against spells in which this marshal itself stood still: no node was silent, we were deaf.
 void Guard::awake(Ns now) {
   const Ns gap = now - s.seenAt;
   s.seenAt = now;
@@ -397,10 +397,9 @@
   s.typical = std::clamp(s.typical + (part > s.typical ? kMedianStep : -kMedianStep), 0.0, kLatest);
 }
 
-// Guards against overload, whatever the cause: by Little's law the tries out over the outcomes a second are
-// the time that tries take by now, known before the late ones come in. What is shed follows that time as a
-// part of the objectives, if the typical outcome is slow too: where some tries are lost and the others are
-// quick, shedding cures nothing. Could come late where traffic is thin.
+// Guards against overload of any cause: by Little's law, tries out over reqs completed a second are the time
+// of tries by now, before the late ones come in. If the typical outcome is slow too (shedding cures no few
+// lost tries), what is shed follows it. Could come late where traffic is thin.
 void Guard::learnShed(Ns now) {
   const double beat = static_cast<double>(now - s.shedAt) / static_cast<double>(kSec);
   if (beat <= 0) return;
@@ -464,46 +463,52 @@
 // that was released before this life began has no earlier one to be measured against: it is the measure.
 void Guard::judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now) {
   if (!s.haveNews || t.build > s.news.build) return;
+  if (outcome == Outcome::completed) answered(t.build, 1, 0);
   const auto objective = routeOf(rq).objective;
   if (outcome == Outcome::timedOut && 2 * took < objective * kDoubt) return; // the client left it no time
   if (outcome != Outcome::completed && (!hardFailure(outcome) || outcome == Outcome::unreachable)) return;
-  // Of a crowded node only errors speak: they show faults that need load, without blaming the build for our
-  // traffic.
+  // Of a crowded node only errors speak: faults that need load, not lateness of our own making.
   if (t.crowded && outcome != Outcome::errored) return;
   const bool silence = outcome == Outcome::timedOut || outcome == Outcome::reset;
-  if (silence && t.node->strikes > kStrikes)
-    return; // it answers nothing: the node's trouble, whatever it runs
+  if (silence && t.node->strikes > kStrikes) return; // it answers nothing: its own trouble
   // Cold nodes are slow, not faulty: errors speak at any age, and lateness once the node is warm.
   const bool young = t.node->listing.start != 0 &&
                      now - t.node->listing.start < std::min(kYoung, s.d.coldFor);
   if (young && outcome != Outcome::errored) return;
   const bool failed = outcome != Outcome::completed || took > objective;
-  if (outcome == Outcome::completed) answered(t.build, 1, 0);
-  for (const std::size_t channel : {std::size_t{0}, static_cast<std::size_t>(rq.route) + 1}) {
-    if (t.build == s.news.build && s.tried) {
-      evidence(channel, failed, outcome == Outcome::errored || outcome == Outcome::reset ? 1 : kLateWeight);
+  const double weight = outcome == Outcome::errored || outcome == Outcome::reset ? 1 : kLateWeight;
+  count(t.build, rq.route, failed ? 1 : 0, 1, weight);
+}
+
+// Outcomes count for the whole trial and for their route, so that one failing route does not drown. Late
+// answers come in bursts, not independently, so each weighs less than an error.
+void Guard::count(int build, int route, double failed, double seen, double weight) {
+  for (const std::size_t channel : {std::size_t{0}, static_cast<std::size_t>(route) + 1}) {
+    auto &c = s.channels[channel];
+    if (build < s.news.build || !s.tried) {
+      const double kept = std::max(1 - seen / kEarlierMemory, 0.0);
+      c.earlierSeen = c.earlierSeen * kept + seen;
+      c.earlierFailed = c.earlierFailed * kept + failed;
       continue;
     }
-    auto &c = s.channels[channel];
-    c.earlierSeen = c.earlierSeen * (1 - 1 / kEarlierMemory) + 1;
-    c.earlierFailed = c.earlierFailed * (1 - 1 / kEarlierMemory) + (failed ? 1 : 0);
+    const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
+    const bool known = c.earlierSeen >= kEarlierEnough;
+    const double p0 = known ? std::clamp(share, kEarlierLeast, kEarlierMost) : kEarlierFirst;
+    const double p1 = 2 * p0 + 0.02; // under 1, as p0 is held
+    move(channel, failed * weight * std::log(p1 / p0) + (seen - failed) * std::log((1 - p1) / (1 - p0)),
+         seen);
   }
 }
 
-// One outcome in one channel: the whole trial, or one route, so that one failing route does not drown. Late
-// answers come in bursts, not independently, so each weighs less than an error.
-void Guard::evidence(std::size_t channel, bool failed, double weight) {
-  auto &c = s.channels[channel];
-  const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
-  const double p0 = c.earlierSeen < kEarlierEnough ? kEarlierFirst
-                                                   : std::clamp(share, kEarlierLeast, kEarlierMost);
-  const double p1 = 2 * p0 + 0.02; // under 1, as p0 is held
-  move(channel, failed ? weight * std::log(p1 / p0) : std::log((1 - p1) / (1 - p0)), 1);
+// Where marshals may not speak to each other, the platform's counts stand in for the others' reports.
+void Guard::tallied(int build, int route, std::uint32_t bad, std::uint32_t all, Ns, Ns) {
+  if (s.d.peers || !s.haveNews || build > s.news.build || route >= static_cast<int>(s.d.routes.size()))
+    return;
+  if (bad <= all) count(build, route, bad, all, 1);
 }
 
 // Flags by clients are the only trace of wrong answers. They come late and rarely, so they are counted for
-// each answer against the rate at which the earlier build's answers are flagged, and against that rate with
-// some wrong ones more.
+// each answer: at the earlier build's rate, against that rate with some wrong ones more.
 void Guard::answered(int build, double answers, double flags) {
   if (s.d.rollout.foundShare <= 0 || !s.haveNews || build > s.news.build) return;
   auto &c = s.channels.back();
@@ -616,7 +621,9 @@
   out.votes.push_back(want);
   s.voted = want;
   s.voteOut = true;
-  s.voteNext = now + std::min(kRenew, s.d.rollout.voteStands / 2);
+  const Ns fair = static_cast<Ns>(2e9 * fusers() /
+                                  std::max(s.d.rollout.voteAllowance, 0.1)); // of the allowance
+  s.voteNext = now + std::max(std::min(kRenew, s.d.rollout.voteStands / 2), fair);
 }
 
 // A vote that was not taken is sent again soon; one with no answer may count, and is sent again just as soon.
@@ -628,9 +635,9 @@
 }
 
 void Guard::news(const News &news, Ns now) {
-  const bool changed = !s.haveNews || news.build != s.news.build || news.stage != s.news.stage ||
-                       news.phase != s.news.phase;
-  if (!s.haveNews || news.build != s.news.build) {
+  const bool newer = !s.haveNews || news.build != s.news.build;
+  const bool changed = newer || news.stage != s.news.stage || news.phase != s.news.phase;
+  if (newer) {
     for (auto &c : s.channels) {
       c.ratio = c.unreported = c.y = c.total = c.outcomes = 0;
       c.heard.assign(static_cast<std::size_t>(s.d.marshals), {});
@@ -640,7 +647,6 @@
   } else if (news.stage != s.news.stage) {
     s.stageOutcomes = 0;
   }
-  const bool newer = !s.haveNews || news.build != s.news.build;
   s.tried = news.phase != Phase::released || (!newer && s.tried);
   if (news.phase == Phase::goingBack || news.phase == Phase::withdrawn) // its keys may return
     std::erase_if(s.keyBuild, [&](const auto &key) { return key.second >= news.build; });
@@ -658,8 +664,6 @@
   if (now - sentAgo >= n.listing.start) answered(n.listing.build, 0, 1);
 }
 
-void Guard::tallied(int, int, std::uint32_t, std::uint32_t, Ns, Ns) {}
-
 // ---- Facts ----
 
 Node &Guard::newNode() {
@@ -714,8 +718,7 @@
   rq.ended = true;
 }
 
-// What a warm node completes for this marshal, the measure of what a cold one may get. Not what is sent to
-// it: in a storm of further tries that says nothing of what it can do.
+// What a warm node completes for this marshal; what is sent to it says nothing in a storm of further tries.
 void Guard::learnRate(Ns now) {
   const Ns span = now - s.rateAt;
   if (span < kSec / 2) return;
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -34,23 +34,20 @@
   double foundShare = 0; // of the wrong answers, how many are flagged
   int votesToGo = 0, noesNeeded = 1, stoppers = 0;
   Ns voteStands = 0;
-  double voteAllowance = 0;
+  double voteAllowance = 1; // votes a second, of all marshals
 };
 
 struct Deployment {
   int me = 0, marshals = 1, zone = 0;
   std::vector<Route> routes;
   std::vector<LoadField> loadFields;
-  std::vector<double> tenantRps; // reqs a second inside each tenant's share, over all marshals
-  double overShareWorth = 1;
   Rollout rollout;
   Ns tick = 0;
   Ns coldFor = 0, fallSpan = 0, maxRetryAfter = 0;
   double coldFrom = 1, fallMultiple = 1;
-  double crossZonePrice = 0, probePrice = 0;
+  double crossZonePrice = 0;
   int mostTries = 1;
-  bool listAsked = false, pullLoad = false, peers = false, probes = false, secondCopies = false;
-  bool cancel = false, retryAfter = false;
+  bool listAsked = false, peers = false, retryAfter = false;
 };
 
 struct Node;
@@ -63,10 +60,9 @@
 enum class Verdict { withdraw, on, hold, back };
 
 struct Listing {
-  int build = 0, zone = 0, cell = 0, model = 0;
+  int build = 0, zone = 0, cell = 0;
   Ns start = 0; // 0: long ago
   Mode mode = Mode::ready;
-  double size = 1;
 };
 
 struct News {
@@ -161,7 +157,7 @@
   Step dispatch(Req &rq, Node &n, Ns now);
   void health(Node &n, Outcome outcome, Ns took, Ns now);
   void judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now);
-  void evidence(std::size_t channel, bool failed, double weight);
+  void count(int build, int route, double failed, double seen, double weight);
   void answered(int build, double answers, double flags);
   void move(std::size_t channel, double by, double outcomes);
   void report(std::size_t channel);
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -25,7 +25,7 @@
 
 struct Req {
   std::uint64_t door = 0;
-  int route = 0, tenant = 0;
+  int route = 0;
   std::uint64_t key = 0;
   Ns taken = 0, deadline = 0;
   bool clientRepeat = false;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -120,7 +120,7 @@
   r.noesNeeded = static_cast<int>(in.whole("familyInfo.noesNeeded", 1, 0, 1'000'000));
   r.stoppers = static_cast<int>(in.whole("familyInfo.stoppers", 0, 0, 1'000'000));
   r.voteStands = in.micros("familyInfo.voteStandsUs", 4 * kSec);
-  r.voteAllowance = in.real("familyInfo.voteAllowance", 0);
+  r.voteAllowance = in.real("familyInfo.voteAllowance", 1);
   return r;
 }
 
@@ -323,9 +323,8 @@
   if (mode > 2) in.fail("unknown mode of a node " + std::to_string(mode));
   l.mode = mode == 2 ? Mode::ready : mode == 0 ? Mode::draining : Mode::gone;
   l.zone = in.u8();
-  const float size = in.f32();
-  l.size = size > 0 && std::isfinite(size) ? static_cast<double>(size) : 1;
-  l.model = in.u16();
+  in.f32(); // size and kind sway no decision
+  in.u16();
   node = in.node();
   return l;
 }
@@ -339,10 +338,6 @@
   const auto routes = in.whole("services.count", 0, 0, 256);
   for (long i = 0; i < routes; ++i) d.routes.push_back(readRoute(in, "services." + std::to_string(i) + "."));
   for (const auto f : in.list("telemetry.fields")) d.loadFields.push_back(loadField(f));
-  const auto tenants = in.whole("parties.count", 0, 0, 65536);
-  for (long i = 0; i < tenants; ++i)
-    d.tenantRps.push_back(in.real("parties." + std::to_string(i) + ".quotaRps", 0));
-  d.overShareWorth = in.real("overShareWorth", 1);
   d.rollout = readRollout(in);
   d.tick = in.micros("resolutionUs", kMs);
   d.coldFor = in.micros("contract.coldUs", 0);
@@ -351,14 +346,9 @@
   d.coldFrom = in.real("contract.coldFrom", 1);
   d.fallMultiple = in.real("contract.fallMultiple", 1);
   d.crossZonePrice = in.real("prices.crossZone", 0);
-  d.probePrice = in.real("prices.probe", 0);
   d.mostTries = static_cast<int>(in.whole("limits.mostTries", 1, 1, 255));
   d.listAsked = in.word("registryMode", "push") == "ask";
-  d.pullLoad = in.word("telemetry.source", "silent") == "pull";
   d.peers = in.flag("limits.peers");
-  d.probes = in.flag("limits.probes");
-  d.secondCopies = in.flag("limits.secondCopies");
-  d.cancel = in.flag("limits.cancel");
   d.retryAfter = in.flag("limits.retryAfter");
   return d;
 }
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -115,6 +115,16 @@
   assert(votes.size() == 1 && votes[0].verdict == Verdict::back);
 }
 
+static void talliesStandInWherePeersMayNotSpeak() {
+  auto d = smallDeployment();
+  for (const bool peers : {true, false}) {
+    d.peers = peers;
+    Bed bed(d, 1, 1);
+    bed.guard.tallied(2, 0, 30, 100, 0, kNow);
+    assert(bed.guard.s.against == !peers);
+  }
+}
+
 static void clockIsHeldInDoubt() {
   auto d = smallDeployment();
   d.rollout.control = Control::clock;
@@ -157,6 +167,7 @@
   badBuildIsVotedBack();
   failingRouteDoesNotDrown();
   flagsConvictWrongAnswers();
+  talliesStandInWherePeersMayNotSpeak();
   clockIsHeldInDoubt();
   untakenVoteIsSentAgain();
 }
