--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -26,7 +26,7 @@
 constexpr Ns kOnAfter = 3 * kSec;       // of quiet since the newest start, before a vote on
 constexpr Ns kStageOverdue = 12 * kSec; // after a stage began, for its first machine to be listed
 constexpr Ns kRenew = 4 * kSec;
-constexpr double kLateWeight = 0.45; // of a late answer or a time-out against an error
+constexpr double kLateWeight = 0.6; // of a late answer or a time-out against an error
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45;
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
 constexpr double kFlagsFirst = 0.002, kFlagPrior = 500; // flags for each answer, as if so many had been seen
