--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -95,8 +95,7 @@
   s.chance.seed(static_cast<std::knuth_b::result_type>(seed ^ seed >> 32));
   // What the last life of this marshal sent to a trial is unknown, so no free try is assumed left.
   s.credit.assign(s.d.rollout.capByRoute ? std::max<std::size_t>(s.d.routes.size(), 1) : 1, 0.0);
-  s.channels.resize(s.d.routes.size() + 3);
-  s.slow.resize(s.d.routes.size());
+  s.channels.resize(s.d.routes.size() + 2);
   for (auto &c : s.channels) c.heard.resize(static_cast<std::size_t>(s.d.marshals));
   s.life = 1 + s.chance() % 0xffff;
   s.resendCredit = kResendBurst;
@@ -478,40 +477,34 @@
   if (young && outcome != Outcome::errored) return;
   const bool failed = outcome != Outcome::completed || took > objective;
   const double weight = outcome == Outcome::errored || outcome == Outcome::reset ? 1 : kLateWeight;
-  for (const std::size_t channel : {std::size_t{0}, static_cast<std::size_t>(rq.route) + 1})
-    count(channel, t.build, failed ? 1 : 0, 1, weight);
-  // A slow build shows long before it misses the objectives: how many are slower than nine in ten of the
-  // earlier's?
-  if (outcome != Outcome::completed) return;
-  double &slow = s.slow[static_cast<std::size_t>(rq.route)];
-  const double time = static_cast<double>(took);
-  count(s.d.routes.size() + 1, t.build, time > slow ? 1 : 0, 1, kLateWeight);
-  if (t.build < s.news.build || !s.tried) slow = std::max(slow, time / 20) * (time > slow ? 1.045 : 0.995);
+  count(t.build, rq.route, failed ? 1 : 0, 1, weight);
 }
 
 // Outcomes count for the whole trial and for their route, so that one failing route does not drown. Late
 // answers come in bursts, not independently, so each weighs less than an error.
-void Guard::count(std::size_t channel, int build, double failed, double seen, double weight) {
-  auto &c = s.channels[channel];
-  if (build < s.news.build || !s.tried) {
-    const double kept = std::max(1 - seen / kEarlierMemory, 0.0);
-    c.earlierSeen = c.earlierSeen * kept + seen;
-    c.earlierFailed = c.earlierFailed * kept + failed;
-    return;
+void Guard::count(int build, int route, double failed, double seen, double weight) {
+  for (const std::size_t channel : {std::size_t{0}, static_cast<std::size_t>(route) + 1}) {
+    auto &c = s.channels[channel];
+    if (build < s.news.build || !s.tried) {
+      const double kept = std::max(1 - seen / kEarlierMemory, 0.0);
+      c.earlierSeen = c.earlierSeen * kept + seen;
+      c.earlierFailed = c.earlierFailed * kept + failed;
+      continue;
+    }
+    const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
+    const bool known = c.earlierSeen >= kEarlierEnough;
+    const double p0 = known ? std::clamp(share, kEarlierLeast, kEarlierMost) : kEarlierFirst;
+    const double p1 = 2 * p0 + 0.02; // under 1, as p0 is held
+    move(channel, failed * weight * std::log(p1 / p0) + (seen - failed) * std::log((1 - p1) / (1 - p0)),
+         seen);
   }
-  const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
-  const bool known = c.earlierSeen >= kEarlierEnough;
-  const double p0 = known ? std::clamp(share, kEarlierLeast, kEarlierMost) : kEarlierFirst;
-  const double p1 = 2 * p0 + 0.02; // under 1, as p0 is held
-  move(channel, failed * weight * std::log(p1 / p0) + (seen - failed) * std::log((1 - p1) / (1 - p0)), seen);
 }
 
 // Where marshals may not speak to each other, the platform's counts stand in for the others' reports.
 void Guard::tallied(int build, int route, std::uint32_t bad, std::uint32_t all, Ns, Ns) {
   if (s.d.peers || !s.haveNews || build > s.news.build || route >= static_cast<int>(s.d.routes.size()))
     return;
-  if (bad <= all)
-    count(0, build, bad, all, 1), count(static_cast<std::size_t>(route) + 1, build, bad, all, 1);
+  if (bad <= all) count(build, route, bad, all, 1);
 }
 
 // Flags by clients are the only trace of wrong answers. They come late and rarely, so they are counted for
@@ -580,8 +573,8 @@
   if (channel == 0) s.stageOutcomes += outcomes;
   if (s.against || c.y < threshold()) return;
   s.against = true;
-  out.lines.push_back(line("build %d is judged bad by channel %d: y %.1f of %.1f, %.0f outcomes this stage",
-                           s.news.build, static_cast<int>(channel), c.y, threshold(), s.stageOutcomes));
+  out.lines.push_back(line("build %d is judged bad by %s: y %.1f of %.1f, %.0f outcomes this stage",
+                           s.news.build, channelName(channel).c_str(), c.y, threshold(), s.stageOutcomes));
 }
 
 // The channel nearest to the threshold speaks for the build.
@@ -591,6 +584,11 @@
   return y;
 }
 
+std::string Guard::channelName(std::size_t channel) const {
+  if (channel == 0) return "outcomes";
+  return channel + 1 == s.channels.size() ? "flags" : line("route %d", static_cast<int>(channel) - 1);
+}
+
 Verdict Guard::verdict(Ns now) const {
   const auto phase = s.news.phase;
   if (!s.haveNews || s.d.me >= fusers() || phase == Phase::goingBack || phase == Phase::withdrawn)
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -157,12 +157,13 @@
   Step dispatch(Req &rq, Node &n, Ns now);
   void health(Node &n, Outcome outcome, Ns took, Ns now);
   void judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now);
-  void count(std::size_t channel, int build, double failed, double seen, double weight);
+  void count(int build, int route, double failed, double seen, double weight);
   void answered(int build, double answers, double flags);
   void move(std::size_t channel, double by, double outcomes);
   void report(std::size_t channel);
   void fuse(std::size_t channel, double moved, double outcomes);
   double highest() const;
+  std::string channelName(std::size_t channel) const;
   int fusers() const;
   double threshold() const;
   Verdict verdict(Ns now) const;
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -85,8 +85,7 @@
 
   // The mechanism.
   std::uint32_t life = 0;        // tells this life's notes from an earlier one's
-  std::vector<Channel> channels; // all outcomes; then a route each; slow ones; last, flags
-  std::vector<double> slow;      // time that nine in ten of the earlier build's answers keep, by route, ns
+  std::vector<Channel> channels; // all outcomes; then a route each; last, flags
   Ns flushAt = 0;                // when what is left over is reported next
   double stageOutcomes = 0;      // reported this stage
   bool against = false;          // some y has reached the threshold for this build
