Keep tenants' shares while shedding

Beyond its share a tenant's importance is what the settings leave of it, so it is shed sooner. Each marshal takes a like part of the share for its own; it could shed a tenant too soon at a marshal that has most of its traffic. The log names channels by number.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -34,27 +34,25 @@
 constexpr double kWrongShare = 0.05; // of a bad build's answers
 
 // Routing and health.
-constexpr Ns kDeaf = 150 * kMs;     // without being asked anything, beats and all
-constexpr Ns kBeat = 50 * kMs;      // how often due() looks round
-constexpr double kSlowFrom = 1.3;   // times the mean latency, before a node counts as slow
-constexpr double kSilence = 5;      // times the mean latency, before a node with tries out counts as silent
-constexpr double kLearn = 0.1;      // weight of the newest sample in a running mean
-constexpr Ns kForget = 5 * kSec;    // a node's latency is half forgiven after this without news of it
-constexpr double kFailWeight = 10;  // a node that fails always looks this much more loaded
-constexpr double kCrossWeight = 10; // per unit of cross-zone price, likewise
-constexpr double kBackCrowd = 0.5;  // the same for a build on its way back
-constexpr double kFairCrowd = 1.2;  // above it, late answers are no evidence
+constexpr Ns kDeaf = 150 * kMs;   // without being asked anything, beats and all
+constexpr Ns kBeat = 50 * kMs;    // how often due() looks round
+constexpr double kSlowFrom = 1.3; // times the mean latency, before a node counts as slow
+constexpr double kSilence = 5;    // times the mean latency, before a node with tries out counts as silent
+constexpr double kLearn = 0.1;    // weight of the newest sample in a running mean
+constexpr Ns kForget = 5 * kSec, kReportLife = kSec; // a latency is half forgiven, a report void, after this
+constexpr double kFailWeight = 10;                   // a node that fails always looks this much more loaded
+constexpr double kCrossWeight = 10;                  // per unit of cross-zone price, likewise
+constexpr double kBackCrowd = 0.5;                   // the same for a build on its way back
+constexpr double kFairCrowd = 1.2;                   // above it, late answers are no evidence
 constexpr double kRoom = 0.25;      // part of the objectives used up, below which there is room
 constexpr double kTrialCrowd = 1.5; // the trial's nodes may be this many times as crowded as the others
 constexpr int kStrikes = 3;         // hard failures in a row that put a node out of use
 constexpr double kFailApart = 2, kFailMargin = 0.1;  // times the better nodes' share, and this more
 constexpr double kFailRest = 0.5;                    // or this share of failures
 constexpr Ns kRest = kSec / 2, kMostRest = 8 * kSec; // first spell out of use, doubling
-constexpr Ns kReportLife = kSec;                     // an older load report says nothing
 constexpr double kDoubt = 0.5; // share of the objective that a try may take at a node that has just failed
 constexpr double kResendShare = 0.2, kResendBurst = 10; // further tries, as a share of reqs taken
-constexpr double kHoldShare = 0.5; // of the objective that a req is held for want of a node
-constexpr Ns kHoldLook = 20 * kMs;
+constexpr double kHoldShare = 0.5;   // of the objective that a req is held for want of a node
 constexpr double kColdBudget = 0.6;  // share of the cold rule's budget that we plan to use
 constexpr double kColdLeast = 2;     // sends to a cold node in a fall span, whatever the budget
 constexpr double kLatest = 1.5;      // most that the time of tries says, as a part of their objectives
@@ -66,8 +64,9 @@
 constexpr double kShedMost = 0.95, kBaseMost = 0.7; // some are let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
 constexpr double kShedRepeat = 0.5;             // on the exponent, for a client's repeat
+constexpr double kLead = 2; // seconds' worth of its share, by which a tenant may be ahead of it
 constexpr double kShedSay = 0.05;
-constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs;
+constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs, kHoldLook = 20 * kMs;
 
 bool hardFailure(Outcome o) {
   return o == Outcome::errored || o == Outcome::timedOut || o == Outcome::reset || o == Outcome::unreachable;
@@ -96,6 +95,8 @@
   // What the last life of this marshal sent to a trial is unknown, so no free try is assumed left.
   s.credit.assign(s.d.rollout.capByRoute ? std::max<std::size_t>(s.d.routes.size(), 1) : 1, 0.0);
   s.channels.resize(s.d.routes.size() + 2);
+  s.tenantLead.resize(s.d.tenantRps.size());
+  for (auto &rps : s.d.tenantRps) rps /= s.d.marshals; // as if each had a like part of the traffic
   for (auto &c : s.channels) c.heard.resize(static_cast<std::size_t>(s.d.marshals));
   s.life = 1 + s.chance() % 0xffff;
   s.resendCredit = kResendBurst;
@@ -274,6 +275,7 @@
   if (!rq.counted) {
     rq.counted = true;
     bookCredit(rq);
+    if (rq.tenant < s.tenantLead.size()) ++s.tenantLead[rq.tenant];
     const auto objective = static_cast<double>(routeOf(rq).objective) / 1e9;
     s.objective = s.objective > 0 ? s.objective + kLearn / 4 * (objective - s.objective) : objective;
     s.resendCredit = std::min(s.resendCredit + kResendShare, kResendBurst);
@@ -381,10 +383,11 @@
 
 // The share of a route's reqs to shed: the share that the fleet can't bear, low importance first.
 double Guard::shedShare(const Req &rq) const {
-  if (s.shed <= 0) return 0;
   double most = 0;
   for (const auto &r : s.d.routes) most = std::max(most, r.importance);
-  const double worth = routeOf(rq).importance / most;
+  const auto t = rq.tenant;
+  const bool over = t < s.tenantLead.size() && s.tenantLead[t] > s.d.tenantRps[t] * kLead;
+  const double worth = routeOf(rq).importance / most * (over ? s.d.overShareWorth : 1);
   const double repeat = rq.clientRepeat ? kShedRepeat : 1; // likely to be late already
   return std::pow(s.shed, repeat * (kShedLow + (kShedHigh - kShedLow) * worth));
 }
@@ -410,6 +413,8 @@
   s.meanOut += weight * ((live > 0 ? live : lost) - s.meanOut);
   s.flow += weight * (s.finished / beat - s.flow);
   s.finished = 0;
+  for (std::size_t i = 0; i < s.tenantLead.size(); ++i)
+    s.tenantLead[i] = std::max(s.tenantLead[i] - s.d.tenantRps[i] * beat, 0.0);
   const double time = s.meanOut / std::max(s.flow, 1.0);
   s.lateness = s.objective > 0 ? std::min({time / s.objective, kTypical * s.typical, kLatest}) : 0;
   const double excess = s.lateness - kShedFrom;
@@ -573,8 +578,8 @@
   if (channel == 0) s.stageOutcomes += outcomes;
   if (s.against || c.y < threshold()) return;
   s.against = true;
-  out.lines.push_back(line("build %d is judged bad by %s: y %.1f of %.1f, %.0f outcomes this stage",
-                           s.news.build, channelName(channel).c_str(), c.y, threshold(), s.stageOutcomes));
+  out.lines.push_back(line("build %d is judged bad by channel %d: y %.1f of %.1f, %.0f outcomes this stage",
+                           s.news.build, static_cast<int>(channel), c.y, threshold(), s.stageOutcomes));
 }
 
 // The channel nearest to the threshold speaks for the build.
@@ -584,11 +589,6 @@
   return y;
 }
 
-std::string Guard::channelName(std::size_t channel) const {
-  if (channel == 0) return "outcomes";
-  return channel + 1 == s.channels.size() ? "flags" : line("route %d", static_cast<int>(channel) - 1);
-}
-
 Verdict Guard::verdict(Ns now) const {
   const auto phase = s.news.phase;
   if (!s.haveNews || s.d.me >= fusers() || phase == Phase::goingBack || phase == Phase::withdrawn)
@@ -742,12 +742,10 @@
     if (std::abs(s.channels[i].ratio) >= kLeftOver) report(i);
   if (now >= s.flushAt) s.flushAt = now + kFlush;
   castVote(now);
-  if (s.d.listAsked && !s.listCallOpen && now >= s.listCallAt) {
-    out.watchList = true;
-    s.listCallOpen = true;
+  // Asked again after a failure, and where no answer came at all; a call that was answered has no time set.
+  if (s.d.listAsked && now >= s.listCallAt && (!s.listCallOpen || s.listCallAt > 0)) {
+    out.watchList = s.listCallOpen = true;
     s.listCallAt = now + kListWait;
-  } else if (s.d.listAsked && s.listCallOpen && s.listCallAt > 0 && now >= s.listCallAt) {
-    s.listCallOpen = false; // no answer at all: ask again
   }
   return std::exchange(out, {});
 }
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -41,6 +41,8 @@
   int me = 0, marshals = 1, zone = 0;
   std::vector<Route> routes;
   std::vector<LoadField> loadFields;
+  std::vector<double> tenantRps; // reqs a second inside each tenant's share, over all marshals
+  double overShareWorth = 1;     // what is left of the importance beyond it
   Rollout rollout;
   Ns tick = 0;
   Ns coldFor = 0, fallSpan = 0, maxRetryAfter = 0;
@@ -163,7 +165,6 @@
   void report(std::size_t channel);
   void fuse(std::size_t channel, double moved, double outcomes);
   double highest() const;
-  std::string channelName(std::size_t channel) const;
   int fusers() const;
   double threshold() const;
   Verdict verdict(Ns now) const;
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -26,6 +26,7 @@
 struct Req {
   std::uint64_t door = 0;
   int route = 0;
+  std::size_t tenant = 0;
   std::uint64_t key = 0;
   Ns taken = 0, deadline = 0;
   bool clientRepeat = false;
@@ -101,14 +102,15 @@
 
   // Load, and the rates that bound it.
   int inflight = 0;
-  double latency = 0;           // mean time of own tries, ns
-  double objective = 0;         // mean of the reqs taken, seconds
-  double finished = 0;          // outcomes since shedAt
-  double meanOut = 0, flow = 0; // tries out, and outcomes a second
-  double lateness = 0;          // time that tries take, as a part of the objectives
-  double typical = 0;           // the median of the same, outcome by outcome
-  double shedBase = 0;          // the part of shed that builds up
-  double shed = 0;              // share of reqs to shed
+  double latency = 0;             // mean time of own tries, ns
+  double objective = 0;           // mean of the reqs taken, seconds
+  double finished = 0;            // outcomes since shedAt
+  double meanOut = 0, flow = 0;   // tries out, and outcomes a second
+  double lateness = 0;            // time that tries take, as a part of the objectives
+  double typical = 0;             // the median of the same, outcome by outcome
+  std::vector<double> tenantLead; // reqs by which each tenant is ahead of its share
+  double shedBase = 0;            // the part of shed that builds up
+  double shed = 0;                // share of reqs to shed
   Ns shedAt = 0;
   bool shedding = false;
   double resendCredit = 0;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -338,6 +338,10 @@
   const auto routes = in.whole("services.count", 0, 0, 256);
   for (long i = 0; i < routes; ++i) d.routes.push_back(readRoute(in, "services." + std::to_string(i) + "."));
   for (const auto f : in.list("telemetry.fields")) d.loadFields.push_back(loadField(f));
+  const auto tenants = in.whole("parties.count", 0, 0, 65536);
+  for (long i = 0; i < tenants; ++i)
+    d.tenantRps.push_back(in.real("parties." + std::to_string(i) + ".quotaRps", 0));
+  d.overShareWorth = in.real("overShareWorth", 1);
   d.rollout = readRollout(in);
   d.tick = in.micros("resolutionUs", kMs);
   d.coldFor = in.micros("contract.coldUs", 0);
--- a/src/wirehost/main.cpp
+++ b/src/wirehost/main.cpp
@@ -190,7 +190,7 @@
   auto rq = std::make_unique<Req>();
   rq->door = in.u64();
   rq->route = in.u8();
-  in.u16(); // whose it is sways no decision
+  rq->tenant = in.u16();
   rq->key = in.u64();
   rq->taken = now_;
   rq->deadline = now_ + Ns{in.u32()} * 1000;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -76,6 +76,24 @@
   assert(shed[0] > shed[1] + 100 && shed[1] > 0);
 }
 
+static void tenantsBeyondTheirShareAreShedFirst() {
+  auto d = smallDeployment();
+  d.tenantRps = {30, 30};
+  d.overShareWorth = 0.1;
+  Bed bed(d);
+  bed.guard.s.shed = 0.4;
+  bed.guard.s.tenantLead = {0, 1000};
+  int shed[2] = {0, 0};
+  for (int i = 0; i < 400; ++i)
+    for (const std::size_t tenant : {0, 1}) {
+      bed.guard.s.tenantLead[0] = 0;
+      Req rq = Bed::req(1);
+      rq.tenant = tenant;
+      shed[tenant] += bed.guard.where(rq, kNow).what == Step::shed;
+    }
+  assert(shed[1] > 2 * shed[0]);
+}
+
 static void sheddingEndsWithTheTrouble() { // found on overload days: shedding fed on itself
   Bed bed;
   bed.guard.s.shedBase = bed.guard.s.shed = 0.8;
@@ -126,6 +144,7 @@
   silentNodeIsPassedOver();
   crowdedTrialIsPassedOver();
   overloadShedsLowImportanceFirst();
+  tenantsBeyondTheirShareAreShedFirst();
   sheddingEndsWithTheTrouble();
   timeOutsDoNotHideOverload();
   ownStandstillIsNoNodesFault();
