Bound p0 by the earlier build's share before the trial

Guards against builds that slow old and new alike and so excuse themselves. The guard's empty call for probe results is gone.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -27,7 +27,7 @@
 constexpr Ns kStageOverdue = 12 * kSec; // after a stage began, for its first machine to be listed
 constexpr Ns kRenew = 4 * kSec;
 constexpr double kLateWeight = 0.6; // of a late answer or a time-out against an error
-constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45;
+constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45, kRise = 1.5, kMore = 0.03;
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
 constexpr double kFlagsFirst = 0.002, kFlagPrior = 500; // flags for each answer, as if so many had been seen
 constexpr double kFlagsLeast = 0.0005, kFlagsMost = 0.05, kFlagMemory = 5000;
@@ -498,8 +498,10 @@
     }
     const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
     const bool known = c.earlierSeen >= kEarlierEnough;
-    const double p0 = known ? std::clamp(share, kEarlierLeast, kEarlierMost) : kEarlierFirst;
-    const double p1 = 2 * p0 + 0.02; // under 1, as p0 is held
+    const double p0 = known
+                          ? std::clamp(share, kEarlierLeast, std::min(kEarlierMost, kRise * c.before + kMore))
+                          : kEarlierFirst;
+    const double p1 = 2 * p0 + 0.02; // p0 rises no more: a build may slow old and new alike
     move(channel, failed * weight * std::log(p1 / p0) + (seen - failed) * std::log((1 - p1) / (1 - p0)),
          seen);
   }
@@ -640,6 +642,7 @@
   if (newer) {
     for (auto &c : s.channels) {
       c.ratio = c.unreported = c.y = c.total = c.outcomes = 0;
+      c.before = c.earlierSeen < kEarlierEnough ? 1 : c.earlierFailed / c.earlierSeen; // 1: not known
       c.heard.assign(static_cast<std::size_t>(s.d.marshals), {});
     }
     s.stageOutcomes = 0;
@@ -708,8 +711,6 @@
   }
 }
 
-void Guard::probed(Node &, bool, Ns) {}
-
 void Guard::streaming(Req &rq, int, Ns) {
   rq.streaming = true;
 }
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -95,7 +95,6 @@
 struct Due {
   std::vector<Vote> votes;
   std::vector<Note> notes;
-  std::vector<Node *> probes;
   std::vector<std::string> lines;
   bool watchList = false;
 };
@@ -127,7 +126,6 @@
   void flagged(Node &node, int route, Ns sentAgo, Ns now);
   void tallied(int build, int route, std::uint32_t bad, std::uint32_t all, Ns meanTime, Ns now);
   void loadReport(Node &node, const std::vector<float> &values, Ns now);
-  void probed(Node &node, bool passed, Ns now);
   void streaming(Req &rq, int tryNo, Ns now);
   void gone(Req &rq); // the client has left
 
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -64,6 +64,7 @@
   double y = 0;
   std::vector<Report> heard;
   double earlierFailed = 0, earlierSeen = 0;
+  double before = 1; // the earlier build's share when this one was offered
 };
 
 struct Instance {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -220,6 +220,15 @@
   number(1, 1);
 }
 
+void Writer::getList() {
+  record(go::getList);
+}
+
+void Writer::shutIdle(NodeId node) {
+  record(go::shutIdle);
+  number(node, 6);
+}
+
 void Writer::peer(int to, const std::vector<std::uint8_t> &bytes) {
   record(go::writePeer);
   number(to < 0 ? 0xffffffffULL : static_cast<std::uint64_t>(to), 4);
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -95,6 +95,8 @@
   void wake(Ns in, std::uint64_t mark);
   void touch(NodeId node);
   void watch();
+  void getList();
+  void shutIdle(NodeId node);
   void peer(int to, const std::vector<std::uint8_t> &bytes);
   void opinion(const Vote &vote);
   void log(std::string_view text);
--- a/src/wirehost/main.cpp
+++ b/src/wirehost/main.cpp
@@ -296,10 +296,9 @@
 void Host::probeDone(Reader &in) {
   auto &m = here(in);
   auto &from = node(in);
-  const auto code = in.u8();
+  outcomeOf(in.u8(), in);
   in.u32();
   if (const auto &values = loads(in); !values.empty()) m.guard.loadReport(from, values, now_);
-  m.guard.probed(from, code == 0, now_);
 }
 
 void Host::peer(Reader &in) {
@@ -350,7 +349,6 @@
   if (due.watchList) m.out.watch();
   for (const auto &note : due.notes) m.out.peer(note.to, note.bytes);
   for (const auto &vote : due.votes) m.out.opinion(vote);
-  for (const auto *n : due.probes) m.out.touch(n->door);
   const auto wait = m.guard.wait(now_);
   if (m.tickAt == 0 || now_ + wait < m.tickAt) {
     m.out.wake(wait, kTickMark);
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -45,6 +45,15 @@
   assert(std::abs(bed.guard.s.channels[0].ratio - std::log(0.42 / 0.2)) < 1e-9);
 }
 
+static void troubleSinceTheOfferDoesNotExcuseTheBuild() { // a build may slow old and new alike
+  Bed bed(smallDeployment(), 1, 1);
+  bed.guard.s.channels[0].earlierSeen = 100;
+  bed.guard.s.channels[0].earlierFailed = 40;
+  bed.guard.s.channels[0].before = 0.02;
+  outcome(bed, bed.node(1), Outcome::errored);
+  assert(std::abs(bed.guard.s.channels[0].ratio - std::log(0.14 / 0.06)) < 1e-9);
+}
+
 static void firstBuildIsTheMeasure() { // found on the first incidents: it was judged with nothing to compare
   Bed bed;
   for (int i = 0; i < 50; ++i) outcome(bed, bed.node(0), Outcome::errored);
@@ -160,6 +169,7 @@
   lateAnswersFailAndTurnedAwayOnesSayNothing();
   youngNodesAreNoEvidence();
   earlierBuildSetsP0();
+  troubleSinceTheOfferDoesNotExcuseTheBuild();
   firstBuildIsTheMeasure();
   aStepIsReportedToEachFuser();
   notesAreFusedAndMalformedOnesDropped();
