--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -63,9 +63,8 @@
 constexpr double kShedNow = 0.5, kShedGain = 0.4; // share shed for each unit above: at once, and each second
 constexpr double kShedMost = 0.95, kBaseMost = 0.7; // some are let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
-constexpr double kShedRepeat = 0.5;             // on the exponent, for a client's repeat
+constexpr double kShedRepeat = 0.5, kShedSay = 0.05; // on the exponent, for a repeat; share that is logged
 constexpr double kLead = 2; // seconds' worth of its share, by which a tenant may be ahead of it
-constexpr double kShedSay = 0.05;
 constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs, kHoldLook = 20 * kMs;
 
 bool hardFailure(Outcome o) {
@@ -497,10 +496,9 @@
       continue;
     }
     const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
+    const double most = std::min(kEarlierMost, kRise * c.before + kMore);
     const bool known = c.earlierSeen >= kEarlierEnough;
-    const double p0 = known
-                          ? std::clamp(share, kEarlierLeast, std::min(kEarlierMost, kRise * c.before + kMore))
-                          : kEarlierFirst;
+    const double p0 = known ? std::clamp(share, kEarlierLeast, most) : kEarlierFirst;
     const double p1 = 2 * p0 + 0.02; // p0 rises no more: a build may slow old and new alike
     move(channel, failed * weight * std::log(p1 / p0) + (seen - failed) * std::log((1 - p1) / (1 - p0)),
          seen);
