Save up sends to cold nodes at the pace that warm ones complete

Sends are now saved up at the marshal's own part of the budget from a start drawn by chance; the rate behind it is unbiased from the first second on, also for a marshal with a req a second. Also guards against many nodes coming back at once under many marshals. Could harm right after a restart: nothing goes to a cold node until a warm one has completed something.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -54,7 +54,7 @@
 constexpr double kResendShare = 0.2, kResendBurst = 10; // further tries, as a share of reqs taken
 constexpr double kHoldShare = 0.5;   // of the objective that a req is held for want of a node
 constexpr double kColdBudget = 0.6;  // share of the cold rule's budget that we plan to use
-constexpr double kColdLeast = 2;     // sends to a cold node in a fall span, whatever the budget
+constexpr double kColdSaved = 0.25;  // of a fall span: so much of its budget may be saved up
 constexpr double kLatest = 1.5;      // most that the time of tries says, as a part of their objectives
 constexpr double kMedianStep = 0.02; // by which an outcome moves the median
 constexpr double kTypical = 2.5; // times the median that the mean may be, before it is a few tries' trouble
@@ -155,15 +155,18 @@
   return std::min(1.0, s.d.coldFrom + (1 - s.d.coldFrom) * age / static_cast<double>(s.d.coldFor));
 }
 
-// Guards against pushing over a cold node, also when many come back at once: each marshal is held to what a
-// warm node completes for it, so their sum keeps the budget without their knowing of each other.
-bool Guard::coldRoom(const Node &n, Ns now) const {
+// Guards against pushing over a cold node, also when many come back at once or many marshals see it at once:
+// what a warm node completes for each marshal, summed over all, is what it bears. Sends to it are saved up at
+// that pace from a start drawn by chance, so that a quiet marshal's part of one send is one send now and
+// then.
+bool Guard::coldRoom(Node &n, Ns now) const {
   const double warm = warmth(n, now);
   if (warm >= 1) return true;
-  const double span = static_cast<double>(s.d.fallSpan);
-  const double sent = n.sentLately * std::exp(-static_cast<double>(now - n.sentAt) / span);
-  const double budget = kColdBudget * s.d.fallMultiple * warm * s.warmRate * span / static_cast<double>(kSec);
-  return sent + 1 <= std::max(budget, kColdLeast);
+  const double pace = kColdBudget * s.d.fallMultiple * warm * s.warmRate / 1e9; // sends a ns
+  const double most = std::max(pace * static_cast<double>(s.d.fallSpan) * kColdSaved, 1.0);
+  n.saved = std::min(n.saved + pace * static_cast<double>(now - n.savedAt), most);
+  n.savedAt = now;
+  return n.saved >= 1;
 }
 
 // Own load: tries out here and what the node last reported, dearer where tries take longer than elsewhere,
@@ -346,9 +349,7 @@
   ++rq.out;
   if (n.inflight++ == 0) n.quietSince = now;
   ++s.inflight;
-  const double span = static_cast<double>(s.d.fallSpan);
-  n.sentLately = n.sentLately * std::exp(-static_cast<double>(now - n.sentAt) / span) + 1;
-  n.sentAt = now;
+  n.saved = std::max(n.saved - 1, 0.0);
   return {Step::send, &n, t.timeout};
 }
 
@@ -671,12 +672,14 @@
   return s.nodes.emplace_back();
 }
 
-void Guard::listed(Node &n, const Listing &listing, Ns) {
+void Guard::listed(Node &n, const Listing &listing, Ns now) {
   // The same id with another build or start is another node to us.
   if (listing.build != n.listing.build || listing.start != n.listing.start) {
     n.latency = n.failShare = n.reported = 0;
     n.strikes = n.rests = 0;
     n.restUntil = 0;
+    n.saved = uniform();
+    n.savedAt = now;
   }
   n.listing = listing;
   n.named = listing.mode == Mode::ready;
@@ -718,15 +721,16 @@
 }
 
 // What a warm node completes for this marshal; what is sent to it says nothing in a storm of further tries.
+// Sum and time decay alike, so that a quiet marshal's rate is right on the mean from its first second on.
 void Guard::learnRate(Ns now) {
   const Ns span = now - s.rateAt;
   if (span < kSec / 2) return;
   const auto warm = std::count_if(s.ready.begin(), s.ready.end(),
                                   [&](Node *n) { return warmth(*n, now) >= 1; });
-  const double nodes = static_cast<double>(warm);
   if (warm > 0) {
-    const double rate = s.borne / nodes * 1e9 / static_cast<double>(span);
-    s.warmRate = s.warmRate > 0 ? s.warmRate + kLearn * (rate - s.warmRate) : rate;
+    s.warmDone += s.borne / static_cast<double>(warm) - kLearn * s.warmDone;
+    s.warmTime += static_cast<double>(span) / 1e9 - kLearn * s.warmTime;
+    s.warmRate = s.warmDone / s.warmTime;
   }
   s.borne = 0;
   s.rateAt = now;
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -140,7 +140,7 @@
   double &creditFor(const Req &rq);
   void bookCredit(const Req &rq);
   double warmth(const Node &n, Ns now) const;
-  bool coldRoom(const Node &n, Ns now) const;
+  bool coldRoom(Node &n, Ns now) const;
   double load(const Node &n, Ns now) const;
   bool silent(const Node &n, Ns now) const;
   bool doubtful(const Node &n, Ns now) const;
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -46,12 +46,12 @@
   Ns quietSince = 0;    // no outcome from here since then, if tries are out
   double latency = 0;   // mean time of own tries here, ns
   Ns latencyAt = 0;
-  double failShare = 0;  // recent share of own tries here that failed
-  int strikes = 0;       // hard failures in a row
-  int rests = 0;         // spells out of use in a row
-  Ns restUntil = 0;      // out of use until then
-  double sentLately = 0; // sends, decaying over the fall span
-  Ns sentAt = 0;
+  double failShare = 0; // recent share of own tries here that failed
+  int strikes = 0;      // hard failures in a row
+  int rests = 0;        // spells out of use in a row
+  Ns restUntil = 0;     // out of use until then
+  double saved = 0;     // sends to it saved up, while it is cold
+  Ns savedAt = 0;
   double reported = 0; // reqs waiting or held there, by its last report
   Ns reportedAt = 0;
 };
@@ -115,8 +115,9 @@
   Ns shedAt = 0;
   bool shedding = false;
   double resendCredit = 0;
-  double warmRate = 0; // reqs a second that a warm node completes for this marshal
-  double borne = 0;    // completed at warm nodes since rateAt
+  double warmRate = 0; // reqs a second that a warm node completes for this marshal: the next two's quotient
+  double warmDone = 0, warmTime = 0; // decaying sums of reqs completed at a warm node, and of seconds
+  double borne = 0;                  // completed at warm nodes since rateAt
   Ns rateAt = 0;
 };
 
