Report left-over moves without bias to failures

Cause: a move under 0.4 was kept back, so that at many marshals failures were told and the small good news was not. Moves too small to pay for their messages now go rounded by chance with the right mean; with three fusers all go as they are.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -17,8 +17,7 @@
 
 // The mechanism's values, as the design page starts them.
 constexpr double kStep = 1.5;      // net move of the ratio that is reported
-constexpr double kLeftOver = 0.4;  // a smaller move that is reported all the same
-constexpr Ns kFlush = kSec;        // so often
+constexpr Ns kFlush = kSec;        // so often what is left over is reported
 constexpr double kThreshold = 8;   // to which the log of the stage's outcomes is added
 constexpr double kHoldLevel = 0.5; // share of the threshold above which no vote goes on
 constexpr int kLeastFusers = 3;
@@ -557,6 +556,16 @@
   c.ratio = c.unreported = 0;
 }
 
+// Guards against steps that pile up unsent at many marshals, most of them the small good news that outweighs
+// one failure. What is left over goes out each second: as it is to few fusers; to many, a move too small to pay
+// goes as the least one that does, with the chance that makes the mean right, and the count restarts.
+void Guard::leftOver(std::size_t channel) {
+  auto &ratio = s.channels[channel].ratio;
+  const double least = kStep * std::max(1 - static_cast<double>(kLeastFusers) / fusers(), 0.0);
+  if (std::abs(ratio) < least) ratio = uniform() * least < std::abs(ratio) ? std::copysign(least, ratio) : 0;
+  if (ratio != 0) report(channel);
+}
+
 void Guard::note(int from, const std::uint8_t *bytes, std::size_t n, Ns) {
   const auto said = unpack(bytes, n);
   if (!said || from < 0 || from >= s.d.marshals || from == s.d.me || s.d.me >= fusers() || !s.haveNews)
@@ -740,9 +749,7 @@
   awake(now);
   learnRate(now);
   learnShed(now);
-  // Guards against steps that pile up unsent at many marshals: what is left over goes out after a while.
-  for (std::size_t i = 0; now >= s.flushAt && i < s.channels.size(); ++i)
-    if (std::abs(s.channels[i].ratio) >= kLeftOver) report(i);
+  for (std::size_t i = 0; now >= s.flushAt && i < s.channels.size(); ++i) leftOver(i);
   if (now >= s.flushAt) s.flushAt = now + kFlush;
   castVote(now);
   // Asked again after a failure, and where no answer came at all; a call that was answered has no time set.
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -161,6 +161,7 @@
   void answered(int build, double answers, double flags);
   void move(std::size_t channel, double by, double outcomes);
   void report(std::size_t channel);
+  void leftOver(std::size_t channel);
   void fuse(std::size_t channel, double moved, double outcomes);
   double highest() const;
   int fusers() const;
