--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -1,14 +1,14 @@
 // THE decision module. The adapter asks where() for each req (and again when a hold's wait() is over),
-// after() for each outcome, and due() after each batch and each wait(); facts come by the other calls. The
-// interface stands in guard.h, the state in state.h. Every decision, threshold, table and tuned value is
-// here. The mechanism is docs/design.md's: own log-likelihood ratio on trial outcomes, reports to the fusers
-// when it has moved a step, the fusers' CUSUM, and their votes.
+// after() for each outcome, and due() after each batch and each wait(); facts come by the other calls.
+// Interface: guard.h, state: state.h; every decision, threshold, table and tuned value is here. The mechanism
+// is docs/design.md's: own log-likelihood ratio on trial outcomes, step-triggered reports to the fusers,
+// their CUSUM, and their votes.
 #include "guard/guard.h"
+#include "guard/log.h"
 #include "guard/report.h"
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <utility>
 
 namespace myrtlehead {
@@ -17,50 +17,52 @@
 
 // The mechanism's values, as the design page starts them.
 constexpr double kStep = 1.5;      // net move of the ratio that is reported
+constexpr double kLeastMove = 0.3; // least left-over move told to very many fusers
 constexpr Ns kFlush = kSec;        // so often what is left over is reported
 constexpr double kThreshold = 8;   // to which the log of the stage's outcomes is added
 constexpr double kHoldLevel = 0.5; // share of the threshold above which no vote goes on
 constexpr int kLeastFusers = 3;
-constexpr Ns kYoung = 5 * kSec;         // outcomes this soon after a node's start are no evidence
+constexpr Ns kYoung = 5 * kSec;         // this soon after a node's start, only errors are evidence
 constexpr Ns kOnAfter = 3 * kSec;       // of quiet since the newest start, before a vote on
 constexpr Ns kStageOverdue = 12 * kSec; // after a stage began, for its first machine to be listed
 constexpr Ns kRenew = 4 * kSec;
+constexpr Ns kSettled = 8 * kSec;   // after its release, a build that is not in doubt is no longer judged
 constexpr double kLateWeight = 0.6; // of a late answer or a time-out against an error
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45, kRise = 1.5, kMore = 0.03;
-constexpr double kEarlierEnough = 20, kEarlierMemory = 300; // outcomes
+constexpr double kEarlierEnough = 20, kEarlierMemory = 300, kRecent = 20; // outcomes
+constexpr double kMostPart = 4; // trial outcomes for each of the earlier build, while it has nodes
+constexpr Ns kMatch = 2 * kSec; // over which outcomes of both are of the same moments
 constexpr double kFlagsFirst = 0.002, kFlagPrior = 500; // flags for each answer, as if so many had been seen
-constexpr double kFlagsLeast = 0.0005, kFlagsMost = 0.05, kFlagMemory = 5000;
-constexpr double kWrongShare = 0.05; // of a bad build's answers
+constexpr double kFlagsLeast = 0.0005, kFlagsMost = 0.05, kFlagMemory = 5000, kWrongShare = 0.05;
 
 // Routing and health.
-constexpr Ns kDeaf = 150 * kMs;   // without being asked anything, beats and all
-constexpr Ns kBeat = 50 * kMs;    // how often due() looks round
-constexpr double kSlowFrom = 1.3; // times the mean latency, before a node counts as slow
-constexpr double kSilence = 5;    // times the mean latency, before a node with tries out counts as silent
-constexpr double kLearn = 0.1;    // weight of the newest sample in a running mean
-constexpr Ns kForget = 5 * kSec, kReportLife = kSec; // a latency is half forgiven, a report void, after this
-constexpr double kFailWeight = 10;                   // a node that fails always looks this much more loaded
-constexpr double kCrossWeight = 10;                  // per unit of cross-zone price, likewise
-constexpr double kBackCrowd = 0.5;                   // the same for a build on its way back
-constexpr double kFairCrowd = 1.2;                   // above it, late answers are no evidence
-constexpr double kRoom = 0.25;      // part of the objectives used up, below which there is room
-constexpr double kTrialCrowd = 1.5; // the trial's nodes may be this many times as crowded as the others
-constexpr double kTrialPace = 1.2, kAnyPace = 1e9;   // times what a warm node completes
-constexpr int kStrikes = 3;                          // hard failures in a row that put a node out of use
-constexpr double kFailApart = 2, kFailMargin = 0.1;  // times the better nodes' share, and this more
-constexpr double kFailRest = 0.5;                    // or this share of failures
+constexpr Ns kBeat = 50 * kMs, kDeaf = 3 * kBeat; // how often due() looks round; without being asked at all
+constexpr double kSlowFrom = 1.3,
+                 kSilence = 5; // times the mean latency: a node is slow; with tries out, silent
+constexpr double kLearn = 0.1; // weight of the newest sample in a running mean
+constexpr Ns kForget = 5 * kSec, kReportLife = kSec;  // a latency is half forgiven, a report void, after this
+constexpr double kFailWeight = 10, kCrossWeight = 10; // load of one that always fails; per cross-zone price
+constexpr double kQuartileStep = 0.1, kFarStill = 0.05; // the latter: share of reqs that still go far
+constexpr double kFarAway = 3; // times the own zone's quartile, from which tries at others take long
+constexpr double kRoom = 0.25; // part of the objectives used up, below which there is room
+// Times as crowded as the others: a trial's nodes are passed over; their late answers are no evidence; on the
+// way back.
+constexpr double kTrialCrowd = 1.5, kFairCrowd = 1.2, kBackCrowd = 0.5;
+constexpr double kTrialPace = 1.2, kAnyPace = 1e9; // times what a warm node completes
+constexpr int kStrikes = 3;                        // hard failures in a row that put a node out of use
+constexpr double kFailRest = 0.5, kFailApart = 2,
+                 kFailMargin = 0.1;                  // or a share; times the better's, and more
 constexpr Ns kRest = kSec / 2, kMostRest = 8 * kSec; // first spell out of use, doubling
 constexpr double kDoubt = 0.5; // share of the objective that a try may take at a node that has just failed
 constexpr double kResendShare = 0.2, kResendBurst = 10; // further tries, as a share of reqs taken
-constexpr double kHoldShare = 0.5;   // of the objective that a req is held for want of a node
-constexpr double kColdBudget = 0.6;  // share of the cold rule's budget that we plan to use
-constexpr double kColdSaved = 0.25;  // of a fall span: so much of its budget may be saved up
-constexpr double kLatest = 1.5;      // most that the time of tries says, as a part of their objectives
-constexpr double kMedianStep = 0.02; // by which an outcome moves the median
+constexpr double kHoldShare = 0.5; // of the objective that a req is held for want of a node
+constexpr double kColdBudget = 0.6, kColdSaved = 0.25; // of the cold rule's budget; of a span's, saved up
+constexpr double kLatest = 1.5,
+                 kMedianStep = 0.02; // most that tries' time says, as a part of their objectives
 constexpr double kTypical = 2.5; // times the median that the mean may be, before it is a few tries' trouble
-constexpr double kFlowMemory = 0.5;               // seconds over which tries out and outcomes are averaged
-constexpr double kShedFrom = 0.5;                 // part of the objectives used up, above which reqs are shed
-constexpr double kShedNow = 0.5, kShedGain = 0.4; // share shed for each unit above: at once, and each second
+constexpr double kFlowMemory = 0.5; // seconds over which tries out and outcomes are averaged
+constexpr double kShedFrom = 0.5, kShedNow = 0.5, kShedGain = 0.4; // part used up; share for each unit above,
+                                                                   // at once and each second
 constexpr double kShedMost = 0.95, kBaseMost = 0.7; // some are let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
 constexpr double kShedRepeat = 0.5, kShedSay = 0.05; // on the exponent, for a repeat; share that is logged
@@ -71,21 +73,6 @@
   return o == Outcome::errored || o == Outcome::timedOut || o == Outcome::reset || o == Outcome::unreachable;
 }
 
-bool neverRan(Outcome o) {
-  return o == Outcome::turnedAway || o == Outcome::unreachable || o == Outcome::notSent;
-}
-
-const char *word(Verdict v) {
-  constexpr const char *kWords[] = {"withdraws", "on", "hold", "back"};
-  return kWords[static_cast<int>(v)];
-}
-
-template <class... A> std::string line(const char *format, A... a) {
-  char text[160];
-  std::snprintf(text, sizeof text, format, a...);
-  return text;
-}
-
 } // namespace
 
 Guard::Guard(Deployment deployment, std::uint64_t seed, Ns now) {
@@ -102,16 +89,6 @@
   s.rateAt = s.shedAt = s.seenAt = now;
 }
 
-const Route &Guard::routeOf(const Req &rq) const {
-  return s.d.routes[static_cast<std::size_t>(rq.route)];
-}
-
-double Guard::uniform() {
-  return std::uniform_real_distribution<double>(0, 1)(s.chance);
-}
-
-// ---- Exposure ----
-
 // A build that the news does not name yet counts as on trial in the first stage; before any news, so does
 // every build but the oldest listed.
 bool Guard::onTrial(int build) const {
@@ -146,8 +123,6 @@
   return capOf(build) > 0 && const_cast<Guard *>(this)->creditFor(rq) >= 1;
 }
 
-// ---- Nodes ----
-
 // The least share of its capacity that a node has by now.
 double Guard::warmth(const Node &n, Ns now) const {
   if (n.listing.start == 0 || s.d.coldFor <= 0) return 1;
@@ -157,8 +132,8 @@
 
 // Guards against pushing over a cold node, also when many come back at once or many marshals see it at once:
 // what a warm node completes for each marshal, summed over all, is what it bears. Sends to it are saved up at
-// that pace from a start drawn by chance, so that a quiet marshal's part of one send is one send now and
-// then. A trial is held to its pace, warm or cold: marshals whose own tries crowd nothing do so together.
+// that pace from a start drawn by chance, so that a quiet marshal's part of a send is one send now and then.
+// A trial is held to its pace, warm or cold, as marshals whose own tries crowd nothing do so together.
 bool Guard::room(Node &n, double mostPace, Ns now) {
   const double warm = warmth(n, now);
   const double multiple = warm < 1 ? std::min(mostPace, kColdBudget * s.d.fallMultiple) : mostPace;
@@ -191,12 +166,9 @@
 bool Guard::mayTake(const Req &rq, const Node &n) const {
   const auto &route = routeOf(rq);
   if (route.repeat == Repeat::deduped && route.group != Group::all)
-    for (const auto &t : rq.tries) {
-      if (!t.mayHaveRun) continue;
-      if (n.listing.zone != t.zone && route.group == Group::zone) return false;
-      if (n.listing.cell != t.cell && route.group == Group::cell) return false;
-      break;
-    }
+    for (const auto &t : rq.tries) // all that may have run went to one group
+      if (t.mayHaveRun && (route.group == Group::zone ? n.listing.zone != t.zone : n.listing.cell != t.cell))
+        return false;
   if (!s.d.rollout.noReturn || rq.key == 0) return true;
   const auto it = s.keyBuild.find(rq.key);
   return it == s.keyBuild.end() || n.listing.build >= it->second;
@@ -207,13 +179,21 @@
   return n.restUntil > now || silent(n, now) || (n.rests > 0 && n.inflight > 0);
 }
 
-// Two random choices by own load, among the nodes not in doubt if a quarter is left: fewer would be flooded.
+// Guards against slow or lossy ways between zones, as many marshals' few tries at each node can't show them.
+// Could harm where the own zone is the busier one: its times then rise, and the others are taken again.
+bool Guard::farAway() const { return s.nearTime > 0 && s.farTime > kFarAway * s.nearTime; }
+
+// Two random choices by own load, among the nodes neither in doubt nor far away, if a quarter is left: fewer
+// would be flooded.
 // Nodes tried before for this req come last.
 Node *Guard::twoChoices(std::vector<Node *> &from, const Req &rq, double mostPace, Ns now) {
   std::erase_if(from, [&](Node *n) { return !mayTake(rq, *n) || !room(*n, mostPace, now); });
-  const auto doubt = [&](Node *n) { return doubtful(*n, now); };
-  const auto doubted = std::count_if(from.begin(), from.end(), doubt);
-  if (4 * doubted <= 3 * static_cast<std::ptrdiff_t>(from.size())) std::erase_if(from, doubt);
+  const auto leaveOut = [&](const auto &which) {
+    if (4 * std::count_if(from.begin(), from.end(), which) <= 3 * std::ssize(from))
+      std::erase_if(from, which);
+  };
+  leaveOut([&](Node *n) { return doubtful(*n, now); });
+  if (farAway() && uniform() > kFarStill) leaveOut([&](Node *n) { return n->listing.zone != s.d.zone; });
   const auto tried = [&](Node *n) {
     return std::any_of(rq.tries.begin(), rq.tries.end(), [&](const Try &t) { return t.node == n; });
   };
@@ -237,15 +217,17 @@
       trial.push_back(n);
   }
   const auto older = [&](Node *n) { return n->listing.build < newest; };
-  if (2 * std::count_if(main.begin(), main.end(), older) <= static_cast<std::ptrdiff_t>(main.size()))
-    std::erase_if(main, older);
+  if (2 * std::count_if(main.begin(), main.end(), older) <= std::ssize(main)) std::erase_if(main, older);
   Node *m = twoChoices(main, rq, kAnyPace, now);
   Node *t = twoChoices(trial, rq, m != nullptr ? kTrialPace : kAnyPace, now);
   if (m == nullptr || t == nullptr) return m != nullptr ? m : t;
   if (!rq.tries.empty()) return m; // a further try is no place for an experiment
-  // Guards the judging: past the others' crowding, late answers would speak of our traffic, not of the build.
-  // On the way back the cap is only for what the returning nodes can't bear yet.
-  const double crowd = s.news.phase == Phase::trial ? kTrialCrowd : kBackCrowd;
+  // Guards the judging: past the others' crowding, late answers would speak of our traffic, not of the build,
+  // and some outcomes of the earlier build must be left to compare with. On the way back the cap is only for
+  // what the returning nodes can't bear yet.
+  const bool trying = s.news.phase == Phase::trial;
+  if (trying && s.trialSeen > kMostPart * s.earlierSeen) return m;
+  const double crowd = trying ? kTrialCrowd : kBackCrowd;
   return (t->inflight + 1) / warmth(*t, now) <= crowd * crowding(now) ? t : m;
 }
 
@@ -261,8 +243,6 @@
   return tries / std::max(nodes, 1.0) + 1;
 }
 
-// ---- The three questions ----
-
 // Guards against spells in which this marshal itself stood still: no node was silent, we were deaf.
 void Guard::awake(Ns now) {
   const Ns gap = now - s.seenAt;
@@ -287,10 +267,8 @@
   if (rq.deadline - now <= 2 * s.d.tick || (rq.tries.empty() && uniform() < shedShare(rq)))
     return giveUp(rq, now);
   if (auto *n = choose(rq, now)) return dispatch(rq, *n, now);
-  const auto &route = routeOf(rq);
-  if (static_cast<double>(now - rq.taken) >= kHoldShare * static_cast<double>(route.objective))
-    return giveUp(rq, now);
-  return {Step::hold};
+  const double held = static_cast<double>(now - rq.taken) / static_cast<double>(routeOf(rq).objective);
+  return held >= kHoldShare ? giveUp(rq, now) : Step{Step::hold};
 }
 
 Step Guard::after(Req &rq, int tryNo, Outcome outcome, Ns took, bool settled, Ns now) {
@@ -299,19 +277,17 @@
   if (!t.out) return {};
   t.out = false;
   t.mayHaveRun = !neverRan(outcome);
-  --rq.out;
-  --t.node->inflight;
+  --rq.out, --t.node->inflight, --s.inflight;
   t.node->quietSince = now;
-  --s.inflight;
-  if (outcome == Outcome::completed || outcome == Outcome::errored)
-    s.finished += 1; // others bear no work away
+  s.finished += outcome == Outcome::completed || outcome == Outcome::errored; // others bear no work away
   if (t.sent >= s.deafUntil) {
     health(*t.node, outcome, took, now);
     learnTypical(routeOf(rq), outcome, took);
     judge(rq, t, outcome, took, now);
   }
-  if (outcome == Outcome::completed && s.d.rollout.noReturn && rq.key != 0) s.keyBuild[rq.key] = t.build;
-  if (outcome == Outcome::completed && warmth(*t.node, now) >= 1) s.borne += 1;
+  const bool ok = outcome == Outcome::completed;
+  if (ok && s.d.rollout.noReturn && rq.key != 0) s.keyBuild[rq.key] = t.build;
+  s.borne += ok && warmth(*t.node, now) >= 1;
   if (settled) rq.ended = true;
   if (rq.ended || rq.out > 0) return {};
   if (!mayResend(rq, now)) return giveUp(rq, now);
@@ -321,23 +297,14 @@
   return dispatch(rq, *n, now);
 }
 
-Ns Guard::wait(const Req &rq, Ns) const {
-  return rq.out > 0 ? 0 : kHoldLook;
-}
+Ns Guard::wait(const Req &rq, Ns) const { return rq.out > 0 ? 0 : kHoldLook; }
 
-Ns Guard::wait(Ns) const {
-  return kBeat;
-}
+Ns Guard::wait(Ns) const { return kBeat; }
 
 Step Guard::dispatch(Req &rq, Node &n, Ns now) {
   const auto &route = routeOf(rq);
-  Try t;
-  t.node = &n;
-  t.sent = now;
-  t.build = n.listing.build;
-  t.zone = n.listing.zone;
-  t.cell = n.listing.cell;
-  t.trial = onTrial(t.build);
+  const auto &l = n.listing;
+  Try t{.node = &n, .sent = now, .build = l.build, .zone = l.zone, .cell = l.cell, .trial = onTrial(l.build)};
   if (t.trial) creditFor(rq) -= 1;
   t.crowded = t.trial && (n.inflight + 1) / warmth(n, now) > kFairCrowd * crowding(now);
   // The last word is ours before the client's time is up, the tick's coarseness allowed for.
@@ -355,8 +322,6 @@
   return {Step::send, &n, t.timeout};
 }
 
-// ---- Further tries and final answers ----
-
 bool Guard::mayResend(const Req &rq, Ns now) const {
   const auto &route = routeOf(rq);
   if (static_cast<int>(rq.tries.size()) >= s.d.mostTries || s.resendCredit < 1) return false;
@@ -397,8 +362,8 @@
 // The median of what outcomes use up of their objectives.
 void Guard::learnTypical(const Route &route, Outcome outcome, Ns took) {
   if (outcome != Outcome::completed && outcome != Outcome::timedOut) return;
-  const double used = static_cast<double>(took) / static_cast<double>(route.objective);
-  const double part = outcome == Outcome::timedOut ? kLatest : used;
+  const bool lost = outcome == Outcome::timedOut;
+  const double part = lost ? kLatest : static_cast<double>(took) / static_cast<double>(route.objective);
   s.typical = std::clamp(s.typical + (part > s.typical ? kMedianStep : -kMedianStep), 0.0, kLatest);
 }
 
@@ -432,20 +397,23 @@
   if (outcome == Outcome::cancelled || outcome == Outcome::notSent) return;
   const bool failed = hardFailure(outcome);
   if (outcome == Outcome::completed || outcome == Outcome::timedOut) {
-    const double time = static_cast<double>(outcome == Outcome::timedOut ? 2 * took : took);
-    n.latency = n.latency > 0 ? n.latency + kLearn * (time - n.latency) : time;
+    const double used = static_cast<double>(outcome == Outcome::timedOut ? 2 * took : took);
+    n.latency = n.latency > 0 ? n.latency + kLearn * (used - n.latency) : used;
     n.latencyAt = now;
-    s.latency = s.latency > 0 ? s.latency + kLearn / 4 * (time - s.latency) : time;
+    s.latency = s.latency > 0 ? s.latency + kLearn / 4 * (used - s.latency) : used;
   }
+  auto &way = n.listing.zone == s.d.zone ? s.nearTime : s.farTime;
+  const auto time = static_cast<double>(took); // the lower quartile: slow nodes and builds leave it alone
+  if (outcome == Outcome::completed)
+    way = way <= 0 ? time : way * (time < way ? 1 - 3 * kQuartileStep : 1 + kQuartileStep);
   n.failShare += kLearn * ((failed ? 1 : 0) - n.failShare);
   n.strikes = failed || outcome == Outcome::turnedAway ? n.strikes + 1 : 0;
   if (n.strikes == 0 && n.failShare < kFailRest / 2) n.rests = 0;
   if (n.restUntil > now || (n.strikes < kStrikes && n.failShare < kFailRest)) return;
   const bool apart = n.failShare >= kFailApart * betterFailShare() + kFailMargin;
   if (!apart && outcome != Outcome::turnedAway) return; // one that turns away is full, or drains unlisted
-  // Guards against nodes that hang, fail or are out of reach, whatever the cause, a whole zone of them too.
-  // The rest ends by itself and one try at a time tells. Could harm where all nodes fail in turn: the better
-  // quarter must not.
+  // Guards against nodes that hang, fail or are out of reach, a whole zone of them too. The rest ends by
+  // itself and one try at a time tells. Could harm where all nodes fail in turn: the better quarter must not.
   n.restUntil = now + std::min(kRest << std::min(n.rests, 10), kMostRest);
   out.lines.push_back(line("node rests %lld ms: %d strikes, fail share %.2f",
                            static_cast<long long>((n.restUntil - now) / kMs), n.strikes, n.failShare));
@@ -464,55 +432,71 @@
   return *quarter;
 }
 
-// ---- The mechanism ----
-
-// Which outcomes are evidence: not those of young nodes, nor those that say nothing of the software. A build
-// that was released before this life began has no earlier one to be measured against: it is the measure.
+// Which outcomes are evidence: those that say something of the software. A build that was released before
+// this life began has no earlier one to be measured against: it is the measure.
 void Guard::judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now) {
   if (!s.haveNews || t.build > s.news.build) return;
   if (outcome == Outcome::completed) answered(t.build, 1, 0);
   const auto objective = routeOf(rq).objective;
   if (outcome == Outcome::timedOut && 2 * took < objective * kDoubt) return; // the client left it no time
   if (outcome != Outcome::completed && (!hardFailure(outcome) || outcome == Outcome::unreachable)) return;
-  // Of a crowded node only errors speak: faults that need load, not lateness of our own making.
-  if (t.crowded && outcome != Outcome::errored) return;
   const bool silence = outcome == Outcome::timedOut || outcome == Outcome::reset;
   if (silence && t.node->strikes > kStrikes) return; // it answers nothing: its own trouble
-  // Cold nodes are slow, not faulty: errors speak at any age, and lateness once the node is warm.
-  const bool young = t.node->listing.start != 0 &&
-                     now - t.node->listing.start < std::min(kYoung, s.d.coldFor);
-  if (young && outcome != Outcome::errored) return;
-  const bool failed = outcome != Outcome::completed || took > objective;
-  const double weight = outcome == Outcome::errored || outcome == Outcome::reset ? 1 : kLateWeight;
-  count(t.build, rq.route, failed ? 1 : 0, 1, weight);
+  // Only errors speak of a crowded node (faults that need load, not lateness of our own making), of a cold
+  // one, which is slow, not faulty, and where ways between zones have got long.
+  const Ns start = t.node->listing.start;
+  const bool young = start != 0 && now - start < std::min(kYoung, s.d.coldFor);
+  const bool soft = !t.crowded && !young && (t.zone == s.d.zone || !farAway());
+  const bool late = outcome == Outcome::timedOut || (outcome == Outcome::completed && took > objective);
+  if (!soft && silence) return;
+  const bool hard = outcome == Outcome::errored || outcome == Outcome::reset;
+  count(t.build, rq.route, hard ? 1 : 0, late && soft ? 1 : 0, 1, soft, now);
 }
 
 // Outcomes count for the whole trial and for their route, so that one failing route does not drown. Late
 // answers come in bursts, not independently, so each weighs less than an error.
-void Guard::count(int build, int route, double failed, double seen, double weight) {
+// Guards against trouble that hits both builds alike and against a p0 from few outcomes: what the earlier
+// build's outcomes of the same moments move beyond the mean at p0 is taken off, by the trial's part of them;
+// so the sum over marshals keeps the design's mean. Lateness is excused up to p0: a build may slow old and
+// new.
+void Guard::count(int build, int route, double hard, double late, double seen, bool soft, Ns now) {
+  const bool earlier = build < s.news.build || !s.tried;
+  const bool open = s.news.stage >= s.d.rollout.guardedStages ||
+                    s.d.routes[static_cast<std::size_t>(route)].repeat == Repeat::retriable;
+  if (earlier && !soft) return;
+  const double kept = std::exp(-static_cast<double>(now - s.judgedAt) / static_cast<double>(kMatch));
+  s.judgedAt = now;
+  s.trialSeen = s.trialSeen * kept + (earlier || !soft ? 0 : seen);
+  s.earlierSeen = s.earlierSeen * kept + (earlier && open ? seen : 0);
+  const double matched = open ? std::min(s.trialSeen / std::max(s.earlierSeen, 1.0), kMostPart) : 0;
   for (const std::size_t channel : {std::size_t{0}, static_cast<std::size_t>(route) + 1}) {
     auto &c = s.channels[channel];
-    if (build < s.news.build || !s.tried) {
-      const double kept = std::max(1 - seen / kEarlierMemory, 0.0);
-      c.earlierSeen = c.earlierSeen * kept + seen;
-      c.earlierFailed = c.earlierFailed * kept + failed;
-      continue;
-    }
-    const double share = c.earlierFailed / std::max(c.earlierSeen, 1.0);
     const double most = std::min(kEarlierMost, kRise * c.before + kMore);
-    const bool known = c.earlierSeen >= kEarlierEnough;
-    const double p0 = known ? std::clamp(share, kEarlierLeast, most) : kEarlierFirst;
-    const double p1 = 2 * p0 + 0.02; // p0 rises no more: a build may slow old and new alike
-    move(channel, failed * weight * std::log(p1 / p0) + (seen - failed) * std::log((1 - p1) / (1 - p0)),
-         seen);
+    const double share = std::min(c.earlierFailed / std::max(c.earlierSeen, 1.0), most);
+    const double p0 = c.earlierSeen < kEarlierEnough
+                          ? kEarlierFirst
+                          : std::clamp(std::max(share, c.hard), kEarlierLeast, kEarlierMost);
+    const double p1 = 2 * p0 + 0.02;
+    const double bad = std::log(p1 / p0), good = std::log((1 - p1) / (1 - p0));
+    if (earlier) {
+      c.earlierSeen = c.earlierSeen * std::max(1 - seen / kEarlierMemory, 0.0) + seen;
+      c.earlierFailed = c.earlierFailed * std::max(1 - seen / kEarlierMemory, 0.0) + hard + late;
+      const double newest = std::min(1.0, seen / std::min(c.earlierSeen, std::max(kRecent, s.earlierSeen)));
+      c.hard += newest * (hard / seen - c.hard);
+      c.late += newest * (late / seen - c.late);
+    }
+    const double blamed = earlier && c.late > p0 ? late * p0 / c.late : late;
+    const double mean = kLateWeight * p0 * bad + (1 - p0) * good;
+    const double ratio = soft ? (hard + kLateWeight * blamed) * bad + (seen - hard - blamed) * good
+                              : (hard - c.hard) * (bad - good); // errors alone, beyond the earlier build's
+    move(channel, earlier ? matched * (seen * mean - ratio) : ratio, earlier ? 0 : seen);
   }
 }
 
 // Where marshals may not speak to each other, the platform's counts stand in for the others' reports.
-void Guard::tallied(int build, int route, std::uint32_t bad, std::uint32_t all, Ns, Ns) {
-  if (s.d.peers || !s.haveNews || build > s.news.build || route >= static_cast<int>(s.d.routes.size()))
-    return;
-  if (bad <= all) count(build, route, bad, all, 1);
+void Guard::tallied(int build, int route, std::uint32_t bad, std::uint32_t all, Ns, Ns now) {
+  const bool known = s.haveNews && build <= s.news.build && route < static_cast<int>(s.d.routes.size());
+  if (!s.d.peers && known && bad <= all && all > 0) count(build, route, bad, 0, all, true, now);
 }
 
 // Flags by clients are the only trace of wrong answers. They come late and rarely, so they are counted for
@@ -532,21 +516,26 @@
 }
 
 void Guard::move(std::size_t channel, double by, double outcomes) {
-  if (s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn) return;
+  if (!s.tried || s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn) return;
   auto &c = s.channels[channel];
   c.ratio += by;
   c.unreported += outcomes;
   if (std::abs(c.ratio) >= kStep) report(channel);
 }
 
+// As many hear the reports as can send the build back.
 int Guard::fusers() const {
-  const auto &r = s.d.rollout;
-  const int most = std::max({r.votesToGo, r.noesNeeded, r.stoppers, kLeastFusers});
+  const int most = std::max({s.d.rollout.noesNeeded, s.d.rollout.stoppers, kLeastFusers});
   return s.d.peers ? std::min(most, s.d.marshals) : s.d.marshals;
 }
 
-// Guards against lost, repeated and late notes and against restarted fusers: a note states the totals of this
-// life.
+// And half as many more than are needed may vote on: so the doubt of half of the fusers stops a stage, while
+// the others vote on what they see themselves, and as many may be down.
+int Guard::voters() const {
+  return std::min(std::max(s.d.rollout.votesToGo + fusers() / 2, fusers()), s.d.marshals);
+}
+
+// Guards against lost, repeated and late notes and restarted fusers: a note states the totals of this life.
 void Guard::report(std::size_t channel) {
   auto &c = s.channels[channel];
   c.total += c.ratio;
@@ -559,12 +548,12 @@
   c.ratio = c.unreported = 0;
 }
 
-// Guards against steps that pile up unsent at many marshals, most of them the small good news that outweighs
-// one failure. What is left over goes out each second: as it is to few fusers; to many, a move too small to
-// pay goes as the least one that does, with the chance that makes the mean right, and the count restarts.
+// Guards against steps that pile up unsent at many marshals, most of them small good news. What is left over
+// goes out each second: as it is to few fusers; to many, a small move goes as the least that pays, at the
+// chance that makes the mean right, and the count restarts.
 void Guard::leftOver(std::size_t channel) {
   auto &ratio = s.channels[channel].ratio;
-  const double least = kStep * std::max(1 - static_cast<double>(kLeastFusers) / fusers(), 0.0);
+  const double least = kLeastMove * std::max(1 - static_cast<double>(kLeastFusers) / fusers(), 0.0);
   if (std::abs(ratio) < least) ratio = uniform() * least < std::abs(ratio) ? std::copysign(least, ratio) : 0;
   if (ratio != 0) report(channel);
 }
@@ -576,14 +565,12 @@
   if (said->channel >= s.channels.size() || said->build != static_cast<std::uint32_t>(s.news.build)) return;
   auto &heard = s.channels[said->channel].heard[static_cast<std::size_t>(from)];
   if (said->life != heard.life) heard = {said->channel, said->build, said->life, 0, 0};
-  if (said->outcomes <= heard.outcomes) return; // repeated, or overtaken by a later one
+  if (said->outcomes < heard.outcomes) return; // overtaken by a later one; a repeat adds nothing
   fuse(said->channel, said->total - heard.total, said->outcomes - heard.outcomes);
   heard = *said;
 }
 
-double Guard::threshold() const {
-  return kThreshold + std::log(std::max(s.stageOutcomes, 1.0));
-}
+double Guard::threshold() const { return kThreshold + std::log(std::max(s.stageOutcomes, 1.0)); }
 
 void Guard::fuse(std::size_t channel, double moved, double outcomes) {
   auto &c = s.channels[channel];
@@ -596,15 +583,11 @@
 }
 
 // The channel nearest to the threshold speaks for the build.
-double Guard::highest() const {
-  double y = s.channels.front().y;
-  for (const auto &c : s.channels) y = std::max(y, c.y);
-  return y;
-}
+double Guard::highest() const { return std::ranges::max(s.channels, {}, &Channel::y).y; }
 
 Verdict Guard::verdict(Ns now) const {
   const auto phase = s.news.phase;
-  if (!s.haveNews || s.d.me >= fusers() || phase == Phase::goingBack || phase == Phase::withdrawn)
+  if (!s.haveNews || s.d.me >= voters() || phase == Phase::goingBack || phase == Phase::withdrawn)
     return Verdict::withdraw;
   if (s.against) return Verdict::back;
   if (phase == Phase::released) return Verdict::withdraw;
@@ -613,8 +596,7 @@
   Ns newest = -1;
   for (const auto *n : s.ready)
     if (n->listing.build == s.news.build) newest = std::max(newest, n->listing.start);
-  // Guards against moving on while the list lags: the stage's own machines must have been seen, or be
-  // overdue.
+  // Guards against moving on while the list lags: the stage's own machines must be seen, or be overdue.
   if (newest < s.stageAt && now - s.stageAt < kStageOverdue) return Verdict::withdraw;
   return !doubt && newest >= 0 && now - newest >= kOnAfter ? Verdict::on : Verdict::withdraw;
 }
@@ -634,8 +616,7 @@
   out.votes.push_back(want);
   s.voted = want;
   s.voteOut = true;
-  const Ns fair = static_cast<Ns>(2e9 * fusers() /
-                                  std::max(s.d.rollout.voteAllowance, 0.1)); // of the allowance
+  const auto fair = static_cast<Ns>(2e9 * voters() / std::max(s.d.rollout.voteAllowance, 0.1));
   s.voteNext = now + std::max(std::min(kRenew, s.d.rollout.voteStands / 2), fair);
 }
 
@@ -656,7 +637,7 @@
       c.before = c.earlierSeen < kEarlierEnough ? 1 : c.earlierFailed / c.earlierSeen; // 1: not known
       c.heard.assign(static_cast<std::size_t>(s.d.marshals), {});
     }
-    s.stageOutcomes = 0;
+    s.stageOutcomes = s.trialSeen = 0;
     s.against = false;
   } else if (news.stage != s.news.stage) {
     s.stageOutcomes = 0;
@@ -664,13 +645,12 @@
   s.tried = news.phase != Phase::released || (!newer && s.tried);
   if (news.phase == Phase::goingBack || news.phase == Phase::withdrawn) // its keys may return
     std::erase_if(s.keyBuild, [&](const auto &key) { return key.second >= news.build; });
+  const bool known = std::exchange(s.haveNews, true);
   s.news = news;
-  s.haveNews = true;
   if (changed) s.stageAt = now - news.age;
-  constexpr const char *kPhases[] = {"on trial", "going back", "released", "withdrawn"};
-  if (changed && 0)
-    out.lines.push_back(line("build %d %s, stage %d, cap %.3f", news.build,
-                             kPhases[static_cast<int>(news.phase)], news.stage, news.cap));
+  if (!changed || !known) return;
+  out.lines.push_back(
+      line("build %d %s, stage %d, cap %.3f", news.build, word(news.phase), news.stage, news.cap));
 }
 
 // A flag speaks of the build that the node ran when the answer was sent.
@@ -678,20 +658,12 @@
   if (now - sentAgo >= n.listing.start) answered(n.listing.build, 0, 1);
 }
 
-// ---- Facts ----
-
-Node &Guard::newNode() {
-  return s.nodes.emplace_back();
-}
-
 void Guard::listed(Node &n, const Listing &listing, Ns now) {
   // The same id with another build or start is another node to us.
   if (listing.build != n.listing.build || listing.start != n.listing.start) {
     n.latency = n.failShare = n.reported = 0;
-    n.strikes = n.rests = 0;
-    n.restUntil = 0;
-    n.saved = uniform();
-    n.savedAt = now;
+    n.restUntil = n.strikes = n.rests = 0;
+    n.saved = uniform(), n.savedAt = now;
   }
   n.listing = listing;
   n.named = listing.mode == Mode::ready;
@@ -724,17 +696,9 @@
   }
 }
 
-void Guard::streaming(Req &rq, int, Ns) {
-  rq.streaming = true;
-}
-
-void Guard::gone(Req &rq) {
-  rq.ended = true;
-}
-
-// What a warm node completes for this marshal; what is sent to it says nothing in a storm of further tries.
-// Sum and time decay alike, so that a quiet marshal's rate is right on the mean from its first second on.
-// Where the earlier nodes all stay, they are the places: a trial is to meet what one bears without it.
+// What a warm node completes for this marshal; sends say nothing in a storm of further tries. Sum and time
+// decay alike, so a quiet marshal's rate is right on the mean from its first second on. Where the earlier
+// nodes all stay, they are the places: a trial is to meet what one bears without it.
 void Guard::learnRate(Ns now) {
   const Ns span = now - s.rateAt;
   if (span < kSec / 2) return;
@@ -750,8 +714,16 @@
   s.rateAt = now;
 }
 
+// Guards against trouble of the whole fleet long after a release, with nothing left to compare with: a build
+// that has stood the full traffic for a while is the measure of the next. One that turns bad later is missed.
+void Guard::settle(Ns now) {
+  if (!s.tried || s.news.phase != Phase::released || now - s.stageAt < kSettled) return;
+  s.tried = s.against || highest() > kHoldLevel * threshold();
+}
+
 Due Guard::due(Ns now) {
   awake(now);
+  settle(now);
   learnRate(now);
   learnShed(now);
   for (std::size_t i = 0; now >= s.flushAt && i < s.channels.size(); ++i) leftOver(i);
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -57,6 +57,12 @@
 struct Req;
 
 enum class Outcome { completed, errored, turnedAway, timedOut, unreachable, reset, cancelled, notSent };
+
+// Whether an outcome proves that the try never ran.
+inline bool neverRan(Outcome o) {
+  return o == Outcome::turnedAway || o == Outcome::unreachable || o == Outcome::notSent;
+}
+
 enum class Mode { ready, draining, gone };
 enum class Phase { trial, goingBack, released, withdrawn };
 enum class Reply { ok, moot, full, error, timedOut };
@@ -117,7 +123,7 @@
   Ns wait(Ns now) const;                // until due() should be asked again
 
   // Facts.
-  Node &newNode();
+  Node &newNode() { return s.nodes.emplace_back(); }
   void listed(Node &node, const Listing &listing, Ns now);
   void listComplete(bool whole, bool saved, Ns now); // a whole list unnames every node not in it
   void listFailed(Ns now);
@@ -127,14 +133,14 @@
   void flagged(Node &node, int route, Ns sentAgo, Ns now);
   void tallied(int build, int route, std::uint32_t bad, std::uint32_t all, Ns meanTime, Ns now);
   void loadReport(Node &node, const std::vector<float> &values, Ns now);
-  void streaming(Req &rq, int tryNo, Ns now);
-  void gone(Req &rq); // the client has left
+  void streaming(Req &rq, int, Ns) { rq.streaming = true; }
+  void gone(Req &rq) { rq.ended = true; } // the client has left
 
   Due due(Ns now);
 
   Instance s; // open to tests: they build the state that they need
 private:
-  const Route &routeOf(const Req &rq) const;
+  const Route &routeOf(const Req &rq) const { return s.d.routes[static_cast<std::size_t>(rq.route)]; }
   bool onTrial(int build) const;
   double capOf(int build) const;
   bool trialOpen(const Req &rq, int build) const;
@@ -144,6 +150,7 @@
   bool room(Node &n, double mostPace, Ns now);
   double load(const Node &n, Ns now) const;
   bool silent(const Node &n, Ns now) const;
+  bool farAway() const;
   bool doubtful(const Node &n, Ns now) const;
   void awake(Ns now);
   double betterFailShare() const;
@@ -158,21 +165,23 @@
   Step dispatch(Req &rq, Node &n, Ns now);
   void health(Node &n, Outcome outcome, Ns took, Ns now);
   void judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now);
-  void count(int build, int route, double failed, double seen, double weight);
+  void count(int build, int route, double hard, double late, double seen, bool soft, Ns now);
   void answered(int build, double answers, double flags);
   void move(std::size_t channel, double by, double outcomes);
   void report(std::size_t channel);
   void leftOver(std::size_t channel);
   void fuse(std::size_t channel, double moved, double outcomes);
   double highest() const;
+  int voters() const;
   int fusers() const;
   double threshold() const;
   Verdict verdict(Ns now) const;
+  void settle(Ns now);
   void castVote(Ns now);
   void learnRate(Ns now);
   void learnShed(Ns now);
   void learnTypical(const Route &route, Outcome outcome, Ns took);
-  double uniform();
+  double uniform() { return std::uniform_real_distribution<double>(0, 1)(s.chance); }
 
   Due out;
 };
--- /dev/null
+++ b/src/guard/log.h
@@ -0,0 +1,26 @@
+// The words and the form of log lines.
+#pragma once
+
+#include "guard/guard.h"
+
+#include <cstdio>
+
+namespace myrtlehead {
+
+inline const char *word(Verdict v) {
+  constexpr const char *kWords[] = {"withdraws", "on", "hold", "back"};
+  return kWords[static_cast<int>(v)];
+}
+
+inline const char *word(Phase p) {
+  constexpr const char *kWords[] = {"on trial", "going back", "released", "withdrawn"};
+  return kWords[static_cast<int>(p)];
+}
+
+template <class... A> std::string line(const char *format, A... a) {
+  char text[160];
+  std::snprintf(text, sizeof text, format, a...);
+  return text;
+}
+
+} // namespace myrtlehead
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -64,7 +64,8 @@
   double y = 0;
   std::vector<Report> heard;
   double earlierFailed = 0, earlierSeen = 0;
-  double before = 1; // the earlier build's share when this one was offered
+  double hard = 0, late = 0; // shares of errors and of late answers among its latest outcomes
+  double before = 1;         // the earlier build's share when this one was offered
 };
 
 struct Instance {
@@ -86,11 +87,13 @@
   std::map<std::uint64_t, int> keyBuild; // noReturn: the build that last answered a key
 
   // The mechanism.
-  std::uint32_t life = 0;        // tells this life's notes from an earlier one's
-  std::vector<Channel> channels; // all outcomes; then a route each; last, flags
-  Ns flushAt = 0;                // when what is left over is reported next
-  double stageOutcomes = 0;      // reported this stage
-  bool against = false;          // some y has reached the threshold for this build
+  std::uint32_t life = 0;                // tells this life's notes from an earlier one's
+  std::vector<Channel> channels;         // all outcomes; then a route each; last, flags
+  double trialSeen = 0, earlierSeen = 0; // outcomes counted of both builds, decaying
+  Ns judgedAt = 0;
+  Ns flushAt = 0;           // when what is left over is reported next
+  double stageOutcomes = 0; // reported this stage
+  bool against = false;     // some y has reached the threshold for this build
 
   // The vote.
   Vote voted{Verdict::withdraw, 0, 0}; // the latest sent
@@ -103,15 +106,16 @@
 
   // Load, and the rates that bound it.
   int inflight = 0;
-  double latency = 0;             // mean time of own tries, ns
-  double objective = 0;           // mean of the reqs taken, seconds
-  double finished = 0;            // outcomes since shedAt
-  double meanOut = 0, flow = 0;   // tries out, and outcomes a second
-  double lateness = 0;            // time that tries take, as a part of the objectives
-  double typical = 0;             // the median of the same, outcome by outcome
-  std::vector<double> tenantLead; // reqs by which each tenant is ahead of its share
-  double shedBase = 0;            // the part of shed that builds up
-  double shed = 0;                // share of reqs to shed
+  double nearTime = 0, farTime = 0; // lower quartiles of own tries in the own zone and others, ns
+  double latency = 0;               // mean time of own tries, ns
+  double objective = 0;             // mean of the reqs taken, seconds
+  double finished = 0;              // outcomes since shedAt
+  double meanOut = 0, flow = 0;     // tries out, and outcomes a second
+  double lateness = 0;              // time that tries take, as a part of the objectives
+  double typical = 0;               // the median of the same, outcome by outcome
+  std::vector<double> tenantLead;   // reqs by which each tenant is ahead of its share
+  double shedBase = 0;              // the part of shed that builds up
+  double shed = 0;                  // share of reqs to shed
   Ns shedAt = 0;
   bool shedding = false;
   double resendCredit = 0;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -14,9 +14,7 @@
 constexpr std::size_t kReplyHead = 12;
 constexpr Ns kUs = 1000;
 
-std::uint32_t micros(Ns t) {
-  return static_cast<std::uint32_t>(std::clamp<Ns>(t / kUs, 0, 0xffffffffLL));
-}
+std::uint32_t micros(Ns t) { return static_cast<std::uint32_t>(std::clamp<Ns>(t / kUs, 0, 0xffffffffLL)); }
 
 // The path=value lines of the settings; a path is looked up once, when the Deployment is decoded.
 class Lines {
@@ -133,9 +131,7 @@
 
 } // namespace
 
-float Reader::f32() {
-  return std::bit_cast<float>(u32());
-}
+float Reader::f32() { return std::bit_cast<float>(u32()); }
 
 void Reader::fail(const std::string &what) const {
   throw WireError(what + " (at byte " + std::to_string(at_) + " of the frame)");
@@ -221,9 +217,7 @@
   number(1, 1);
 }
 
-void Writer::getList() {
-  record(go::getList);
-}
+void Writer::getList() { record(go::getList); }
 
 void Writer::shutIdle(NodeId node) {
   record(go::shutIdle);
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -35,6 +35,42 @@
   bed.node(1).listing.start = kNow - kSec;
   outcome(bed, bed.node(1), Outcome::completed, kSec);
   assert(bed.guard.s.channels[0].ratio == 0);
+  outcome(bed, bed.node(1), Outcome::errored); // errors speak at any age
+  assert(bed.guard.s.channels[0].ratio > 0);
+}
+
+static void commonTroubleMovesNothingOnTheMean() { // scored: quick errors at any node sent good builds back
+  auto d = smallDeployment();
+  d.marshals = 1000;
+  double sum = 0;
+  for (int i = 0; i < 100;
+       ++i) { // quiet marshals, each with ten outcomes of the earlier build and three of the trial
+    Bed bed(d, 1, 1);
+    bed.guard.s.d.me = 999;
+    bed.guard.s.chance.seed(static_cast<std::knuth_b::result_type>(i + 1));
+    for (int j = 0; j < 130; ++j) {
+      const bool bad = bed.guard.s.chance() % 10 < 4;
+      outcome(bed, bed.node(j % 13 < 10 ? 0 : 1), bad ? Outcome::errored : Outcome::completed);
+    }
+    sum += bed.guard.s.channels[0].total + bed.guard.s.channels[0].ratio;
+  }
+  assert(sum < 0);
+}
+
+static void leftOversKeepTheirMean() { // scored: failures were told, the small good news was not
+  auto d = smallDeployment();
+  d.rollout.noesNeeded = d.marshals = 60;
+  int told = 0;
+  for (int i = 0; i < 400; ++i) {
+    Bed bed(d, 1, 1);
+    bed.guard.s.d.me = 59;
+    bed.guard.s.chance.seed(static_cast<std::knuth_b::result_type>(i + 1));
+    bed.guard.s.channels[0].ratio = -0.1;
+    bed.guard.due(kNow);
+    told += bed.guard.s.channels[0].total < 0;
+    assert(bed.guard.s.channels[0].ratio == 0);
+  }
+  assert(told > 100 && told < 180); // 0.1 of 0.285 of 400
 }
 
 static void earlierBuildSetsP0() {
@@ -115,6 +151,30 @@
   assert(bed.guard.s.channels[2].y > bed.guard.s.channels[0].y + 5);
 }
 
+static void aBuildThatStoodIsTheMeasure() { // scored: a slow link sent a build back long after its release
+  Bed bed(smallDeployment(), 1, 1, Phase::released);
+  bed.guard.s.stageAt = kNow - 5 * kSec;
+  for (int i = 0; i < 5; ++i) outcome(bed, bed.node(1), Outcome::completed);
+  bed.guard.due(kNow);
+  assert(bed.guard.s.tried); // it may yet go back
+  bed.guard.due(kNow + 4 * kSec);
+  for (int i = 0; i < 50; ++i) outcome(bed, bed.node(1), Outcome::errored);
+  assert(!bed.guard.s.tried && bed.guard.s.channels[0].y <= 0);
+}
+
+static void asManyMayVoteOnAsHalfTheFusersMore() {
+  auto d = smallDeployment();
+  d.marshals = 100;
+  d.rollout.votesToGo = 50;
+  d.rollout.noesNeeded = 8;
+  for (const int me : {7, 53, 54}) {
+    d.me = me;
+    Bed bed(d, 1, 1);
+    bed.node(1).listing.start = kNow - 4 * kSec;
+    assert(bed.guard.due(kNow).votes.size() == (me < 54 ? 1 : 0));
+  }
+}
+
 static void flagsConvictWrongAnswers() {
   auto d = smallDeployment();
   d.rollout.foundShare = 0.3;
@@ -168,6 +228,8 @@
   failuresMoveTheRatioByTheDesignsTerms();
   lateAnswersFailAndTurnedAwayOnesSayNothing();
   youngNodesAreNoEvidence();
+  commonTroubleMovesNothingOnTheMean();
+  leftOversKeepTheirMean();
   earlierBuildSetsP0();
   troubleSinceTheOfferDoesNotExcuseTheBuild();
   firstBuildIsTheMeasure();
@@ -175,6 +237,8 @@
   notesAreFusedAndMalformedOnesDropped();
   restartedFuserHearsTheTotals();
   badBuildIsVotedBack();
+  aBuildThatStoodIsTheMeasure();
+  asManyMayVoteOnAsHalfTheFusersMore();
   failingRouteDoesNotDrown();
   flagsConvictWrongAnswers();
   talliesStandInWherePeersMayNotSpeak();
