--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -59,7 +59,7 @@
 constexpr double kColdBudget = 0.6, kColdSaved = 0.25; // of the cold rule's budget; of a span's, saved up
 constexpr double kLatest = 1.5,
                  kMedianStep = 0.02; // most that tries' time says, as a part of their objectives
-constexpr double kTypical = 1.6; // times the median that the mean may be, before it is a few tries' trouble
+constexpr double kTypical = 2.5; // times the median that the mean may be, before it is a few tries' trouble
 constexpr double kFlowMemory = 0.5; // seconds over which tries out and outcomes are averaged
 constexpr double kShedFrom = 0.5, kShedNow = 0.5, kShedGain = 0.4; // part used up; share for each unit above,
                                                                    // at once and each second
