Put what rounding adds on the threshold, by the number of marshals

Cause: the notes of many marshals, each rounded, pushed y over the threshold of a stage just begun; good builds went back at y 11.4 of 11.1. One and a half deviations of that rounding are no news; with three fusers nothing is rounded and nothing changes. It also guards against other noise that grows with the marshals; a weak fault is found a little later at size.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -16,11 +16,11 @@
 namespace {
 
 // The mechanism's values, as the design page starts them.
-constexpr double kStep = 1.5;      // net move of the ratio that is reported
-constexpr double kLeastMove = 0.3; // least left-over move told to very many fusers
-constexpr Ns kFlush = kSec;        // so often what is left over is reported
-constexpr double kThreshold = 8;   // to which the log of the stage's outcomes is added
-constexpr double kHoldLevel = 0.5; // share of the threshold above which no vote goes on
+constexpr double kStep = 1.5;                       // net move of the ratio that is reported
+constexpr double kLeastMove = 0.3, kRounding = 1.5; // told to many fusers; deviations of it that are no news
+constexpr Ns kFlush = kSec;                         // so often what is left over is reported
+constexpr double kThreshold = 8;                    // to which the log of the stage's outcomes is added
+constexpr double kHoldLevel = 0.5;                  // share of the threshold above which no vote goes on
 constexpr int kLeastFusers = 3;
 constexpr Ns kYoung = 5 * kSec;         // this soon after a node's start, only errors are evidence
 constexpr Ns kOnAfter = 3 * kSec;       // of quiet since the newest start, before a vote on
@@ -61,8 +61,7 @@
                  kMedianStep = 0.02; // most that tries' time says, as a part of their objectives
 constexpr double kTypical = 2.5; // times the median that the mean may be, before it is a few tries' trouble
 constexpr double kFlowMemory = 0.5; // seconds over which tries out and outcomes are averaged
-constexpr double kShedFrom = 0.5, kShedNow = 0.5, kShedGain = 0.4; // part used up; share for each unit above,
-                                                                   // at once and each second
+constexpr double kShedFrom = 0.5, kShedNow = 0.5, kShedGain = 0.4; // for each unit above: at once, a second
 constexpr double kShedMost = 0.95, kBaseMost = 0.7; // some are let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
 constexpr double kShedRepeat = 0.5, kShedSay = 0.05; // on the exponent, for a repeat; share that is logged
@@ -112,14 +111,12 @@
   double cap = onTrial(named) ? capOf(named) : capOf(named + 1);
   for (const auto *n : s.ready)
     if (onTrial(n->listing.build)) cap = std::min(cap, capOf(n->listing.build));
-  auto &credit = creditFor(rq);
-  credit = std::min(credit + cap * (1 - 1e-6), s.d.rollout.free);
+  creditFor(rq) = std::min(creditFor(rq) + cap * (1 - 1e-6), s.d.rollout.free);
 }
 
 bool Guard::trialOpen(const Req &rq, int build) const {
   const int stage = s.haveNews && build == s.news.build ? s.news.stage : 0;
-  const auto &route = routeOf(rq);
-  if (stage < s.d.rollout.guardedStages && route.repeat != Repeat::retriable) return false;
+  if (stage < s.d.rollout.guardedStages && routeOf(rq).repeat != Repeat::retriable) return false;
   return capOf(build) > 0 && const_cast<Guard *>(this)->creditFor(rq) >= 1;
 }
 
@@ -553,11 +550,13 @@
 // chance that makes the mean right, and the count restarts.
 void Guard::leftOver(std::size_t channel) {
   auto &ratio = s.channels[channel].ratio;
-  const double least = kLeastMove * std::max(1 - static_cast<double>(kLeastFusers) / fusers(), 0.0);
-  if (std::abs(ratio) < least) ratio = uniform() * least < std::abs(ratio) ? std::copysign(least, ratio) : 0;
+  if (const double least = leastMove(); std::abs(ratio) < least)
+    ratio = uniform() * least < std::abs(ratio) ? std::copysign(least, ratio) : 0;
   if (ratio != 0) report(channel);
 }
 
+double Guard::leastMove() const { return kLeastMove * std::max(1 - 1.0 * kLeastFusers / fusers(), 0.0); }
+
 void Guard::note(int from, const std::uint8_t *bytes, std::size_t n, Ns) {
   const auto said = unpack(bytes, n);
   if (!said || from < 0 || from >= s.d.marshals || from == s.d.me || s.d.me >= fusers() || !s.haveNews)
@@ -570,7 +569,12 @@
   heard = *said;
 }
 
-double Guard::threshold() const { return kThreshold + std::log(std::max(s.stageOutcomes, 1.0)); }
+// What the rounding of all marshals' left-over moves adds in a flush is no news: kRounding standard
+// deviations.
+double Guard::threshold() const {
+  const double rounding = kRounding * leastMove() * std::sqrt(s.d.marshals);
+  return kThreshold + rounding + std::log(std::max(s.stageOutcomes, 1.0));
+}
 
 void Guard::fuse(std::size_t channel, double moved, double outcomes) {
   auto &c = s.channels[channel];
@@ -710,8 +714,7 @@
     s.warmTime += static_cast<double>(span) / 1e9 - kLearn * s.warmTime;
     s.warmRate = s.warmDone / s.warmTime;
   }
-  s.borne = 0;
-  s.rateAt = now;
+  s.borne = 0, s.rateAt = now;
 }
 
 // Guards against trouble of the whole fleet long after a release, with nothing left to compare with: a build
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -170,6 +170,7 @@
   void move(std::size_t channel, double by, double outcomes);
   void report(std::size_t channel);
   void leftOver(std::size_t channel);
+  double leastMove() const;
   void fuse(std::size_t channel, double moved, double outcomes);
   double highest() const;
   int voters() const;
