--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -145,7 +145,7 @@
 // Own load: tries out here and what the node last reported, dearer where tries take longer than elsewhere,
 // fail or cross zones. A node that is silent while it holds tries counts as failing.
 double Guard::load(const Node &n, Ns now) const {
-  const double age = static_cast<double>(now - n.latencyAt) / std::max(1.0 * kForget, 1e9 / s.warmRate);
+  const double age = static_cast<double>(now - n.latencyAt) / static_cast<double>(kForget);
   const double slow = s.latency > 0 ? std::max(n.latency / s.latency - kSlowFrom, 0.0) * std::exp2(-age) : 0;
   const bool fresh = n.reportedAt > 0 && now - n.reportedAt < kReportLife;
   const double far = n.listing.zone == s.d.zone ? 1 : 1 + kCrossWeight * s.d.crossZonePrice;
@@ -395,9 +395,7 @@
   const bool failed = hardFailure(outcome);
   if (outcome == Outcome::completed || outcome == Outcome::timedOut) {
     const double used = static_cast<double>(outcome == Outcome::timedOut ? 2 * took : took);
-    // Where tries here are rare the newest says most, and load() keeps it until the next is due.
-    const double gap = static_cast<double>(now - n.latencyAt) / static_cast<double>(kForget);
-    n.latency += (n.latency > 0 ? std::max(kLearn, 1 - std::exp2(-gap)) : 1) * (used - n.latency);
+    n.latency = n.latency > 0 ? n.latency + kLearn * (used - n.latency) : used;
     n.latencyAt = now;
     s.latency = s.latency > 0 ? s.latency + kLearn / 4 * (used - s.latency) : used;
   }
