--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -19,8 +19,8 @@
 constexpr double kStep = 1.5;                       // net move of the ratio that is reported
 constexpr double kLeastMove = 0.3, kRounding = 1.5; // told to many fusers; deviations of it that are no news
 constexpr Ns kFlush = kSec;                         // so often what is left over is reported
-constexpr double kThreshold = 8, kAlone = 2; // the log of the stage's outcomes is added; times, once released
-constexpr double kHoldLevel = 0.5;           // share of the threshold above which no vote goes on
+constexpr double kThreshold = 8;                    // to which the log of the stage's outcomes is added
+constexpr double kHoldLevel = 0.5;                  // share of the threshold above which no vote goes on
 constexpr int kLeastFusers = 3;
 constexpr Ns kYoung = 5 * kSec;         // this soon after a node's start, only errors are evidence
 constexpr Ns kOnAfter = 3 * kSec;       // of quiet since the newest start, before a vote on
@@ -573,8 +573,7 @@
 // deviations.
 double Guard::threshold() const {
   const double rounding = kRounding * leastMove() * std::sqrt(s.d.marshals);
-  const double alone = s.news.phase == Phase::released ? kAlone : 1; // nothing is left to compare with
-  return alone * (kThreshold + rounding + std::log(std::max(s.stageOutcomes, 1.0)));
+  return kThreshold + rounding + std::log(std::max(s.stageOutcomes, 1.0));
 }
 
 void Guard::fuse(std::size_t channel, double moved, double outcomes) {
