--- /dev/null
+++ b/src/catalog/watch.cpp
@@ -0,0 +1,64 @@
+#include "catalog/watch.h"
+
+namespace myrtlehead::catalog {
+
+namespace {
+// A line comes every two seconds at least; a watch that has missed two of them is dead.
+constexpr Ns kSilence = 5 * kSec;
+} // namespace
+
+bool Watch::start(const json::Value &known) {
+  std::string error;
+  const auto list = readList(known, zones_, unixAtZero_, error);
+  if (!list) return false;
+  index_ = list->index;
+  marshal_.listed(list->entries, true, true);
+  return true;
+}
+
+// A new wish replaces the watch that is open: it may be one that gives no answer.
+net::Task<> Watch::run() {
+  std::shared_ptr<sched::Stop> open;
+  for (;;) {
+    co_await marshal_.listWanted();
+    if (open) open->request();
+    open = std::make_shared<sched::Stop>();
+    sched_.spawn(follow(++turn_, open));
+  }
+}
+
+net::Task<> Watch::follow(std::uint64_t turn, std::shared_ptr<sched::Stop> stop) {
+  calls::Exchange call(sched_, budget_);
+  const auto target = "/catalog/members?stream=1&index=" + std::to_string(index_);
+  auto request = http::writeRequest("GET", target, "discovery");
+  const net::Until first{sched_.now() + kSilence, stop.get()};
+  const auto asked = co_await call.ask(at_, std::move(request), first);
+  auto cause = asked.cause;
+  std::string line;
+  if (cause == net::Cause::none && call.head().status != 200) cause = net::Cause::refused;
+  while (cause == net::Cause::none) {
+    while (cause == net::Cause::none && http::takeLine(call.body, line))
+      if (!line.empty() && !this->line(line)) cause = net::Cause::unreadable;
+    if (cause != net::Cause::none) break;
+    const net::Until next{sched_.now() + kSilence, stop.get()};
+    cause = co_await call.more(next);
+  }
+  if (turn != turn_) co_return; // replaced meanwhile
+  log_.info("watch on discovery ended: cause ", static_cast<int>(cause), ", status ", call.head().status);
+  marshal_.listFailed();
+}
+
+bool Watch::line(const std::string &text) {
+  std::string error;
+  const auto value = json::parse(text, &error);
+  const auto list = value ? readList(*value, zones_, unixAtZero_, error) : std::nullopt;
+  if (!list) {
+    log_.warning("discovery sent a line that is no list: ", error);
+    return false;
+  }
+  index_ = list->index;
+  marshal_.listed(list->entries, list->whole, false);
+  return true;
+}
+
+} // namespace myrtlehead::catalog
--- /dev/null
+++ b/src/clients/door.cpp
@@ -0,0 +1,63 @@
+#include "clients/door.h"
+
+#include "clients/session.h"
+
+namespace myrtlehead::clients {
+
+using net::Cause;
+
+namespace {
+
+constexpr int kKept = 4;               // one descriptor in so many stays with nodes and control connections
+constexpr Ns kStillOpen = kSec / 2;    // after the wish to end: a front may send on for a while
+constexpr Ns kRetryAccept = kSec / 10; // where the machine has no descriptor left
+
+net::Task<> session(Door &door, std::unique_ptr<net::Socket> socket, std::uint32_t number) {
+  Session session(door, std::move(socket), number);
+  co_await session.run();
+}
+
+} // namespace
+
+Door::Door(net::Scheduler &sched, net::Descriptors &budget, Marshal &marshal, nodes::Pool &pool,
+           log::Log &log, net::Address listen, std::vector<std::string> routes)
+    : sched_(sched), budget_(budget), marshal_(marshal), pool_(pool), log_(log), routes_(std::move(routes)),
+      listener_(net::listenAt(sched, budget, listen)) {}
+
+// Guards the descriptors that nodes and control connections need: the longest idle client goes first.
+bool Door::makeRoom() {
+  if (budget_.left() > budget_.most() / kKept) return true;
+  if (!idle_.empty()) idle_.front()->stopIdling();
+  return false;
+}
+
+net::Task<> Door::accept() {
+  while (!noMore_.requested()) {
+    if (!makeRoom()) {
+      const net::Until soon{sched_.now() + kRetryAccept, &noMore_};
+      co_await sched_.wait(budget_.freed, soon);
+      continue;
+    }
+    auto accepted = net::acceptNow(sched_, budget_, *listener_);
+    if (accepted) {
+      sched_.spawn(session(*this, std::move(*accepted), ++sessions_));
+    } else if (accepted.failure().cause == Cause::timedOut) {
+      const net::Until until{sched::kNever, &noMore_};
+      co_await listener_->readable(until);
+    } else if (accepted.failure().cause == Cause::noDescriptor) {
+      log_.warning("no descriptor left for a client");
+      if (!pool_.closeOldestIdle() && !idle_.empty()) idle_.front()->stopIdling();
+      co_await sched_.sleep(kRetryAccept, &noMore_);
+    }
+  }
+}
+
+net::Task<> Door::close() {
+  co_await sched_.sleep(kStillOpen);
+  noMore_.request();
+  listener_.reset();
+  for (auto *session : all_) session->stopIdling();
+  while (!all_.empty()) co_await sched_.wait(ended_);
+}
+
+} // namespace myrtlehead::clients
--- /dev/null
+++ b/src/clients/door.h
@@ -0,0 +1,38 @@
+// The clients' side: accepts connections, answers their queries, and ends well.
+#pragma once
+
+#include "marshal/marshal.h"
+#include "net/socket.h"
+#include "nodes/pool.h"
+
+namespace myrtlehead::clients {
+
+class Door {
+public:
+  Door(net::Scheduler &sched, net::Descriptors &budget, Marshal &marshal, nodes::Pool &pool, log::Log &log,
+       net::Address listen, std::vector<std::string> routes);
+
+  net::Task<> accept();
+  // New connections and reqs are still taken for a while; then idle connections go, the others as they are
+  // answered. Returns when none is left.
+  net::Task<> close();
+  net::Address address() const { return net::localAddress(*listener_); }
+
+private:
+  friend class Session;
+  bool makeRoom();
+  net::Scheduler &sched_;
+  net::Descriptors &budget_;
+  Marshal &marshal_;
+  nodes::Pool &pool_;
+  log::Log &log_;
+  std::vector<std::string> routes_;
+  std::unique_ptr<net::Socket> listener_;
+  sched::Stop noMore_; // ends accept()
+  std::uint32_t sessions_ = 0;
+  std::list<class Session *> all_;
+  std::list<class Session *> idle_; // waiting for a req, the longest first
+  sched::Signal ended_;
+};
+
+} // namespace myrtlehead::clients
--- /dev/null
+++ b/src/clients/session.h
@@ -0,0 +1,41 @@
+// One client connection, from its startup message to its end.
+#pragma once
+
+#include "clients/door.h"
+#include "pg/message.h"
+#include "pg/statement.h"
+
+namespace myrtlehead::clients {
+
+class Session {
+public:
+  Session(Door &door, std::unique_ptr<net::Socket> socket, std::uint32_t number);
+  ~Session();
+  Session(const Session &) = delete;
+  Session &operator=(const Session &) = delete;
+
+  net::Task<> run();
+  void stopIdling() { enough_.request(); } // it may be closed now, being between reqs
+
+private:
+  net::Task<bool> startUp();
+  net::Task<bool> nextMessage(pg::Message &out);
+  net::Task<bool> answer(pg::Message message);
+  net::Task<bool> query(std::string_view sql);
+  net::Task<bool> serve(const pg::Statement &statement, int route);
+  net::Task<bool> say(std::string_view bytes);
+  net::Task<bool> complain(const pg::Complaint &complaint, bool ready = true);
+  void idle(bool is);
+
+  Door &door_;
+  std::unique_ptr<net::Socket> socket_;
+  std::uint32_t number_;
+  net::Buffer buffer_;
+  sched::Stop gone_;      // the client has closed its end
+  sched::Stop enough_;    // the marshal wants the connection back
+  bool skipping_ = false; // an extended-protocol error: all is skipped up to Sync
+  std::list<Session *>::iterator inAll_, inIdle_;
+  bool isIdle_ = false;
+};
+
+} // namespace myrtlehead::clients
--- a/src/guard/log.h
+++ b/src/guard/log.h
@@ -1,7 +1,7 @@
 // The words and the form of log lines.
 #pragma once
 
-#include "guard/guard.h"
+#include "guard/terms.h"
 
 #include <cstdio>
 
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -2,8 +2,8 @@
 // instance. Plain values; objects point to each other. `door` is the id by which the adapter knows a thing.
 #pragma once
 
-#include "guard/guard.h"
 #include "guard/report.h"
+#include "guard/terms.h"
 
 #include <deque>
 #include <map>
--- /dev/null
+++ b/src/marshal/marshal.cpp
@@ -0,0 +1,166 @@
+#include "marshal/marshal.h"
+
+namespace myrtlehead {
+
+Call::Call(int route, std::uint64_t key, Ns patience, bool repeat, Ns now) {
+  rq_.route = route;
+  rq_.key = key;
+  rq_.taken = now;
+  rq_.deadline = now + patience;
+  rq_.clientRepeat = repeat;
+}
+
+Marshal::Marshal(sched::Scheduler &sched, Deployment deployment, std::uint64_t seed, log::Log &log)
+    : sched_(sched), log_(log), guard_(std::move(deployment), seed, sched.now()) {}
+
+Choice Marshal::carryOut(Call &call, const Step &step) {
+  untouched_ = false;
+  touched_.notify();
+  call.target_ = nullptr;
+  switch (step.what) {
+  case Step::send:
+    call.target_ = byNode_.at(step.node);
+    call.changes_ = call.target_->changes;
+    call.news_ = newsChanges_;
+    call.build_ = step.node->listing.build;
+    return {Choice::send, call.target_, now() + step.timeout, 0};
+  case Step::shed:
+    return {Choice::shed, nullptr, 0, step.retryAfter};
+  case Step::fail:
+    return {Choice::fail};
+  case Step::hold:
+  case Step::nothing:
+    break;
+  }
+  return {};
+}
+
+sched::Task<Choice> Marshal::pick(Call &call, sched::Stop &stop) {
+  for (;;) {
+    const auto step = guard_.where(call.rq_, now());
+    if (step.what != Step::hold) co_return carryOut(call, step);
+    const Ns wait = guard_.wait(call.rq_, now());
+    if (co_await sched_.sleep(wait, &stop) == sched::Woken::stopped) co_return Choice{};
+  }
+}
+
+Choice Marshal::report(Call &call, Outcome outcome) {
+  auto &rq = call.rq_;
+  const auto last = rq.tries.size() - 1;
+  const Ns took = now() - rq.tries[last].sent;
+  const bool settled = outcome == Outcome::completed || rq.ended;
+  return carryOut(call, guard_.after(rq, static_cast<int>(last), outcome, took, settled, now()));
+}
+
+bool Marshal::stillMeant(const Call &call) const {
+  const bool sameNode = call.target_ != nullptr && call.target_->changes == call.changes_;
+  return sameNode && (call.news_ == newsChanges_ || call.build_ < news_.build);
+}
+
+void Marshal::left(Call &call) { guard_.gone(call.rq_); }
+
+void Marshal::load(const Target &target, const std::vector<float> &values) {
+  guard_.loadReport(*target.node, values, now());
+}
+
+sched::Task<> Marshal::listWanted() {
+  while (!listWanted_) co_await sched_.wait(listSignal_);
+  listWanted_ = false;
+}
+
+void Marshal::listed(const std::vector<Entry> &entries, bool whole, bool saved) {
+  for (const auto &e : entries) {
+    auto &known = byName_[e.name];
+    if (known == nullptr) {
+      known = &targets_.emplace_back();
+      known->name = e.name;
+      known->index = targets_.size() - 1;
+      known->node = &guard_.newNode();
+      known->node->door = known->index;
+      byNode_[known->node] = known;
+    }
+    const auto &was = known->node->listing;
+    const auto &is = e.listing;
+    if (!known->listed || was.build != is.build || was.start != is.start || was.mode != is.mode ||
+        known->address != e.address)
+      ++known->changes;
+    known->address = e.address;
+    guard_.listed(*known->node, is, now());
+  }
+  guard_.listComplete(whole, saved, now());
+  for (auto &t : targets_) {
+    if (t.listed && !t.node->named) ++t.changes; // left out of a whole list
+    t.listed = t.node->named;
+  }
+  round();
+}
+
+void Marshal::listFailed() {
+  guard_.listFailed(now());
+  round();
+}
+
+Target *Marshal::find(const std::string &name) {
+  const auto it = byName_.find(name);
+  return it == byName_.end() ? nullptr : it->second;
+}
+
+sched::Task<Vote> Marshal::nextVote() {
+  while (votes_.empty()) co_await sched_.wait(voteSignal_);
+  const auto vote = votes_.front();
+  votes_.pop_front();
+  co_return vote;
+}
+
+void Marshal::voteAnswered(Reply reply) {
+  guard_.voteAnswered(reply, now());
+  round();
+}
+
+void Marshal::news(const News &news) {
+  const bool same = news.build == news_.build && news.stage == news_.stage && news.phase == news_.phase &&
+                    news.cap == news_.cap;
+  if (!same) ++newsChanges_;
+  news_ = news;
+  guard_.news(news, now());
+  round();
+}
+
+void Marshal::flagged(const std::string &node, int route, Ns age) {
+  if (auto *t = find(node)) guard_.flagged(*t->node, route, age, now());
+}
+
+sched::Task<Note> Marshal::nextNote() {
+  while (notes_.empty()) co_await sched_.wait(noteSignal_);
+  auto note = std::move(notes_.front());
+  notes_.pop_front();
+  co_return note;
+}
+
+void Marshal::heard(int from, std::string_view bytes) {
+  guard_.note(from, reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size(), now());
+  untouched_ = false;
+  touched_.notify();
+}
+
+void Marshal::round() {
+  auto due = guard_.due(now());
+  for (const auto &line : due.lines) log_.info(line);
+  if (due.watchList) listWanted_ = true, listSignal_.notify();
+  for (auto &note : due.notes) notes_.push_back(std::move(note));
+  if (!due.notes.empty()) noteSignal_.notify();
+  for (const auto &vote : due.votes) votes_.push_back(vote);
+  if (!due.votes.empty()) voteSignal_.notify();
+}
+
+sched::Task<> Marshal::tick() {
+  for (;;) {
+    round();
+    untouched_ = true;
+    co_await sched_.sleep(guard_.s.d.tick); // what comes in meanwhile is looked at together
+    const sched::Until beat{now() + guard_.wait(now()), nullptr};
+    if (untouched_) co_await sched_.wait(touched_, beat);
+  }
+}
+
+} // namespace myrtlehead
--- /dev/null
+++ b/src/net/descriptors.h
@@ -0,0 +1,25 @@
+// The budget of open descriptors. Clients may not take the last of them: nodes and control connections go
+// first.
+#pragma once
+
+#include "sched/scheduler.h"
+
+namespace myrtlehead::net {
+
+class Descriptors {
+public:
+  explicit Descriptors(int most) : most_(most) {}
+  int left() const { return most_ - used_; }
+  int most() const { return most_; }
+  void take() { ++used_; }
+  void give() {
+    --used_;
+    freed.notify();
+  }
+  sched::Signal freed;
+
+private:
+  int most_, used_ = 0;
+};
+
+} // namespace myrtlehead::net
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,175 @@
+#include "net/socket.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace myrtlehead::net {
+
+namespace {
+
+constexpr std::size_t kReadSize = 4096;
+
+Cause causeOf(int error) { return error == ECONNREFUSED ? Cause::refused : Cause::broken; }
+
+Cause causeOf(sched::Woken woken) {
+  return woken == sched::Woken::stopped ? Cause::stopped : Cause::timedOut;
+}
+
+void noDelay(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+[[noreturn]] void fail(int fd, const char *what) {
+  const int error = errno;
+  if (fd >= 0) close(fd);
+  throw std::system_error(error, std::generic_category(), what);
+}
+
+std::unique_ptr<Socket> bound(Scheduler &sched, Descriptors &budget, Address at, int kind) {
+  const int fd = socket(AF_INET, kind | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) fail(fd, "socket");
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind(fd, reinterpret_cast<const sockaddr *>(&at.at), sizeof at.at) != 0) fail(fd, "can't bind");
+  if (kind == SOCK_STREAM && listen(fd, SOMAXCONN) != 0) fail(fd, "can't listen");
+  return std::make_unique<Socket>(sched, budget, fd);
+}
+
+} // namespace
+
+std::optional<Address> parseAddress(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  const std::string host(text.substr(0, colon));
+  const auto port = text.substr(colon + 1);
+  std::uint16_t number = 0;
+  const auto r = std::from_chars(port.data(), port.data() + port.size(), number);
+  Address a;
+  a.at.sin_family = AF_INET;
+  if (port.empty() || r.ec != std::errc{} || r.ptr != port.data() + port.size() ||
+      inet_pton(AF_INET, host.c_str(), &a.at.sin_addr) != 1)
+    return std::nullopt;
+  a.at.sin_port = htons(number);
+  return a;
+}
+
+Socket::Socket(Scheduler &sched, Descriptors &budget, int fd) : sched_(sched), budget_(budget), fd_(fd) {
+  budget_.take();
+  sched_.watch(fd, *this);
+}
+
+Socket::~Socket() {
+  close(fd_);
+  budget_.give();
+}
+
+void Socket::happened(std::uint32_t events) {
+  const bool over = (events & (EPOLLHUP | EPOLLERR | EPOLLRDHUP)) != 0;
+  if (over) hungUp_ = true;
+  if (over || (events & EPOLLIN) != 0) readable_.notify();
+  if (over || (events & EPOLLOUT) != 0) writable_.notify();
+  if (over && onHangUp_ != nullptr) onHangUp_->request();
+}
+
+void Socket::onHangUp(sched::Stop *stop) {
+  onHangUp_ = stop;
+  if (hungUp_ && stop != nullptr) stop->request();
+}
+
+Cause Socket::readNow(Buffer &into) {
+  const auto room = into.room(kReadSize);
+  const auto n = recv(fd_, room.data(), room.size(), 0);
+  if (n > 0) {
+    into.filled(static_cast<std::size_t>(n));
+    return Cause::none;
+  }
+  if (n == 0) return Cause::ended;
+  return errno == EAGAIN || errno == EINTR ? Cause::timedOut : Cause::broken;
+}
+
+Task<Cause> Socket::read(Buffer &into, Until until) {
+  for (;;) {
+    const auto cause = readNow(into);
+    if (cause != Cause::timedOut) co_return cause;
+    const auto woken = co_await sched_.wait(readable_, until);
+    if (woken != sched::Woken::signalled) co_return causeOf(woken);
+  }
+}
+
+Task<Cause> Socket::readable(Until until) {
+  const auto woken = co_await sched_.wait(readable_, until);
+  co_return woken == sched::Woken::signalled ? Cause::none : causeOf(woken);
+}
+
+Task<Cause> Socket::write(std::string_view bytes, Until until) {
+  while (!bytes.empty()) {
+    const auto n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (n >= 0) {
+      bytes.remove_prefix(static_cast<std::size_t>(n));
+      written_ += static_cast<std::size_t>(n);
+      continue;
+    }
+    if (errno != EAGAIN && errno != EINTR) co_return Cause::broken;
+    const auto woken = co_await sched_.wait(writable_, until);
+    if (woken != sched::Woken::signalled) co_return causeOf(woken);
+  }
+  co_return Cause::none;
+}
+
+bool Socket::quiet() const {
+  char byte;
+  return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+Task<Result<std::unique_ptr<Socket>>> connect(Scheduler &sched, Descriptors &budget, Address to,
+                                              Until until) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) co_return Failure{Cause::noDescriptor};
+  auto socket = std::make_unique<Socket>(sched, budget, fd);
+  noDelay(fd);
+  if (::connect(fd, reinterpret_cast<const sockaddr *>(&to.at), sizeof to.at) == 0)
+    co_return std::move(socket);
+  if (errno != EINPROGRESS) co_return Failure{causeOf(errno)};
+  const auto woken = co_await sched.wait(socket->writable_, until);
+  if (woken != sched::Woken::signalled) co_return Failure{causeOf(woken)};
+  int error = 0;
+  socklen_t size = sizeof error;
+  getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) co_return Failure{causeOf(error)};
+  co_return std::move(socket);
+}
+
+std::unique_ptr<Socket> listenAt(Scheduler &sched, Descriptors &budget, Address at) {
+  return bound(sched, budget, at, SOCK_STREAM);
+}
+
+std::unique_ptr<Socket> datagramsAt(Scheduler &sched, Descriptors &budget, Address at) {
+  return bound(sched, budget, at, SOCK_DGRAM);
+}
+
+Address localAddress(const Socket &socket) {
+  Address a;
+  socklen_t size = sizeof a.at;
+  getsockname(socket.fd(), reinterpret_cast<sockaddr *>(&a.at), &size);
+  return a;
+}
+
+Result<std::unique_ptr<Socket>> acceptNow(Scheduler &sched, Descriptors &budget, Socket &listener) {
+  const int fd = accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd < 0) {
+    const bool none = errno == EAGAIN;
+    const bool full = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+    return Failure{none ? Cause::timedOut : full ? Cause::noDescriptor : Cause::broken};
+  }
+  noDelay(fd);
+  return std::make_unique<Socket>(sched, budget, fd);
+}
+
+} // namespace myrtlehead::net
--- /dev/null
+++ b/src/nodes/pool.h
@@ -0,0 +1,67 @@
+// Connections to nodes, and upstream tries on them. A connection carries one try at a time and is used again
+// only after a whole answer with nothing left over.
+#pragma once
+
+#include "marshal/marshal.h"
+#include "net/socket.h"
+#include "pg/statement.h"
+
+#include <functional>
+
+namespace myrtlehead::nodes {
+
+// What a try came to.
+struct Tried {
+  Outcome outcome = Outcome::unreachable;
+  std::string answer;       // completed: the row as the node wrote it, to be passed on
+  std::vector<float> loads; // the node's load report, in the order of the deployment's fields
+};
+
+// From how far the attempt had come to what that proves.
+Outcome outcomeOf(const net::Failure &failure);
+
+// "inflight=7,util=0.61": the values of `names`, in their order; not a number where one is missing.
+std::vector<float> readLoads(std::string_view text, const std::vector<std::string> &names);
+
+class Pool {
+public:
+  Pool(net::Scheduler &sched, net::Descriptors &budget, Ns connectWithin, Ns idleAtMost,
+       std::vector<std::string> loadNames)
+      : sched_(sched), budget_(budget), connectWithin_(connectWithin), idleAtMost_(idleAtMost),
+        loadNames_(std::move(loadNames)) {}
+
+  // `meant`: asked right before the statement is written to a new connection; false: it is not sent.
+  net::Task<Tried> attempt(const Target &target, const pg::Statement &statement, net::Until until,
+                           std::function<bool()> meant);
+  net::Task<> sweep();    // closes what has stood idle or ended, for as long as the marshal lives
+  bool closeOldestIdle(); // to free a descriptor
+
+private:
+  struct Connection {
+    std::unique_ptr<net::Socket> socket;
+    net::Buffer buffer;
+    std::uint64_t changes = 0; // of its target, when it was opened
+    Ns idleSince = 0;
+    bool settled = true; // ReadyForQuery has been read
+  };
+  using Held = std::unique_ptr<Connection>;
+
+  net::Task<net::Result<Held>> open(const Target &target, net::Until until);
+  net::Task<net::Failure> welcome(Connection &c, net::Until until);
+  net::Task<net::Failure> exchange(Connection &c, std::string query, net::Until until, Tried &out);
+  Held take(const Target &target);
+  void keep(const Target &target, Held c);
+  static bool usable(Connection &c);
+
+  net::Scheduler &sched_;
+  net::Descriptors &budget_;
+  Ns connectWithin_, idleAtMost_;
+  std::vector<std::string> loadNames_;
+  struct Place {
+    const Target *target = nullptr;
+    std::deque<Held> idle; // the latest used last
+  };
+  std::deque<Place> places_; // by the target's index
+};
+
+} // namespace myrtlehead::nodes
--- /dev/null
+++ b/src/peers/datagrams.cpp
@@ -0,0 +1,36 @@
+#include "peers/datagrams.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace myrtlehead::peers {
+
+// What can't be sent at once is lost, as any datagram may be.
+net::Task<> Datagrams::send() {
+  for (;;) {
+    const auto note = co_await marshal_.nextNote();
+    if (note.bytes.size() > kMostBytes || note.to >= static_cast<int>(peers_.size())) continue;
+    const auto &to = note.to < 0 ? all_ : peers_[static_cast<std::size_t>(note.to)];
+    sendto(socket_->fd(), note.bytes.data(), note.bytes.size(), MSG_NOSIGNAL,
+           reinterpret_cast<const sockaddr *>(&to.at), sizeof to.at);
+  }
+}
+
+net::Task<> Datagrams::receive() {
+  std::array<char, kMostBytes + 1> bytes; // one more shows a datagram that is too long
+  for (;;) {
+    net::Address from;
+    socklen_t size = sizeof from.at;
+    const auto n = recvfrom(socket_->fd(), bytes.data(), bytes.size(), 0,
+                            reinterpret_cast<sockaddr *>(&from.at), &size);
+    if (n < 0 && errno == EAGAIN) co_await socket_->readable({});
+    if (n <= 0 || static_cast<std::size_t>(n) > kMostBytes) continue;
+    const auto peer = std::find(peers_.begin(), peers_.end(), from);
+    if (peer == peers_.end()) continue;
+    marshal_.heard(static_cast<int>(peer - peers_.begin()), {bytes.data(), static_cast<std::size_t>(n)});
+  }
+}
+
+} // namespace myrtlehead::peers
--- /dev/null
+++ b/src/peers/datagrams.h
@@ -0,0 +1,28 @@
+// Notes between marshals: datagrams, told apart by the sender's address.
+#pragma once
+
+#include "marshal/marshal.h"
+#include "net/socket.h"
+
+namespace myrtlehead::peers {
+
+constexpr std::size_t kMostBytes = 256;
+
+class Datagrams {
+public:
+  Datagrams(net::Scheduler &sched, net::Descriptors &budget, Marshal &marshal, net::Address listen,
+            std::vector<net::Address> peers, net::Address all)
+      : socket_(net::datagramsAt(sched, budget, listen)), marshal_(marshal), peers_(std::move(peers)),
+        all_(all) {}
+
+  net::Task<> send();
+  net::Task<> receive();
+
+private:
+  std::unique_ptr<net::Socket> socket_;
+  Marshal &marshal_;
+  std::vector<net::Address> peers_;
+  net::Address all_;
+};
+
+} // namespace myrtlehead::peers
--- /dev/null
+++ b/src/platform/desk.h
@@ -0,0 +1,33 @@
+// Calls on the platform: votes, each on a connection of its own, and the bulletin.
+#pragma once
+
+#include "calls/exchange.h"
+#include "marshal/marshal.h"
+#include "platform/words.h"
+
+namespace myrtlehead::platform {
+
+class Desk {
+public:
+  Desk(net::Scheduler &sched, net::Descriptors &budget, Marshal &marshal, log::Log &log, net::Address at,
+       std::vector<std::string> routes, Ns callWithin)
+      : sched_(sched), budget_(budget), marshal_(marshal), log_(log), at_(at), routes_(std::move(routes)),
+        callWithin_(callWithin) {}
+
+  net::Task<> sendVotes();
+  net::Task<> readBulletin();
+
+private:
+  net::Task<Answer> call(std::string form);
+  net::Task<net::Cause> follow();
+  void event(const http::Event &event);
+  net::Scheduler &sched_;
+  net::Descriptors &budget_;
+  Marshal &marshal_;
+  log::Log &log_;
+  net::Address at_;
+  std::vector<std::string> routes_;
+  Ns callWithin_;
+};
+
+} // namespace myrtlehead::platform
--- /dev/null
+++ b/src/platform/words.cpp
@@ -0,0 +1,78 @@
+#include "platform/words.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace myrtlehead::platform {
+
+namespace {
+
+constexpr std::string_view kPhases[] = {"Progressing", "Aborting", "Healthy", "Aborted"};
+constexpr std::string_view kVerdicts[] = {"none", "on", "hold", "back"};
+
+bool number(std::string_view text, double least, double most, double &out) {
+  const auto r = std::from_chars(text.data(), text.data() + text.size(), out);
+  return !text.empty() && r.ec == std::errc{} && r.ptr == text.data() + text.size() && std::isfinite(out) &&
+         out >= least && out <= most;
+}
+
+} // namespace
+
+std::optional<News> readNews(const http::Fields &fields) {
+  News news;
+  double build = 0, stage = 0, age = 0;
+  if (!number(http::value(fields, "build"), 0, 65535, build) ||
+      !number(http::value(fields, "stage"), 0, 255, stage) ||
+      !number(http::value(fields, "cap"), 0, 1, news.cap) ||
+      !number(http::value(fields, "age_ms"), 0, 1e12, age))
+    return std::nullopt;
+  const auto phase = http::value(fields, "phase");
+  int i = 0;
+  while (i < 4 && kPhases[i] != phase) ++i;
+  if (i == 4) return std::nullopt;
+  news.build = static_cast<int>(build);
+  news.stage = static_cast<int>(stage);
+  news.phase = static_cast<Phase>(i);
+  news.age = static_cast<Ns>(age * static_cast<double>(kMs));
+  return news;
+}
+
+std::optional<News> readNews(const json::Value &object) {
+  http::Fields fields;
+  for (const auto &[name, value] : object.fields) fields.emplace_back(name, value.text);
+  return readNews(fields);
+}
+
+std::optional<Flag> readFlag(const http::Fields &fields) {
+  Flag flag;
+  double age = 0;
+  flag.server = http::value(fields, "server");
+  flag.route = http::value(fields, "class");
+  if (flag.server.empty() || !number(http::value(fields, "age_ms"), 0, 1e12, age)) return std::nullopt;
+  flag.age = static_cast<Ns>(age * static_cast<double>(kMs));
+  return flag;
+}
+
+// An answer that can't be read leaves open whether the vote counts.
+Answer readAnswer(int status, std::string_view body) {
+  http::Fields leaves;
+  if (!http::parseXml(body, leaves)) return {};
+  if (status == 200) {
+    const auto news = readNews(leaves);
+    return news ? Answer{Reply::ok, news} : Answer{};
+  }
+  const auto code = http::value(leaves, "Code");
+  if (code == "BUSY") return {Reply::full, {}};
+  if (code == "STALE") return {Reply::moot, {}};
+  if (code == "FAILED" || code == "SYNTAX") return {Reply::error, {}};
+  return {};
+}
+
+std::string voteForm(const Vote &vote) {
+  return http::writeForm({{"Action", "RecordOpinion"},
+                          {"build", std::to_string(vote.build)},
+                          {"stage", std::to_string(vote.stage)},
+                          {"verdict", std::string(kVerdicts[static_cast<int>(vote.verdict)])}});
+}
+
+} // namespace myrtlehead::platform
--- /dev/null
+++ b/src/setup/station.h
@@ -0,0 +1,25 @@
+// One marshal's place: its configuration, read and checked before anything else starts.
+#pragma once
+
+#include "net/socket.h"
+#include "setup/deployment.h"
+
+namespace myrtlehead::setup {
+
+struct Station {
+  std::string name;
+  net::Address listen, discovery, platform, peerListen, peersAll;
+  std::vector<net::Address> peers; // by their numbers
+  std::uint64_t seed = 0;
+  int descriptors = 0;
+  Deployment deployment;
+  std::vector<std::string> routes, zones, loadNames; // by their numbers
+  Ns connectWithin = 0, idleAtMost = 0, callWithin = 0;
+  json::Value known, news; // in the forms of discovery and of the platform
+};
+
+// Throws SetupError.
+Station readStation(std::string_view text);
+std::string readFile(const std::string &path);
+
+} // namespace myrtlehead::setup
