--- /dev/null
+++ b/example/fleet.cpp
@@ -0,0 +1,317 @@
+#include "example/fleet.h"
+
+#include "pg/message.h"
+#include "pg/statement.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+
+namespace myrtlehead::example {
+
+namespace {
+
+using net::Cause;
+using net::Ns;
+
+constexpr Ns kMs = 1'000'000, kWork = 20 * kMs, kBoot = 1000 * kMs, kDrain = 1500 * kMs;
+
+long long unixMs() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+std::string answerOf(const char *status, std::string_view type, const std::string &body) {
+  std::string out = std::string("HTTP/1.1 ") + status + "\r\nContent-Type: ";
+  return out.append(type).append("\r\nContent-Length: ") + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string streamHead(const char *type) {
+  return std::string("HTTP/1.1 200 OK\r\nContent-Type: ") + type + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string &text) {
+  constexpr const char *kHex = "0123456789abcdef";
+  std::string size;
+  for (auto n = text.size(); n > 0; n /= 16) size.insert(size.begin(), kHex[n % 16]);
+  return size + "\r\n" + text + "\r\n";
+}
+
+int number(std::string_view text, int absent) {
+  int v = absent;
+  std::from_chars(text.data(), text.data() + text.size(), v);
+  return v;
+}
+
+} // namespace
+
+Fleet::Fleet(net::Scheduler &sched, net::Descriptors &budget, const Beginning &beginning)
+    : sched_(sched), budget_(budget), discovery_(net::listenAt(sched, budget, beginning.discovery)),
+      platform_(net::listenAt(sched, budget, beginning.platform)), caps_(beginning.caps),
+      released_(beginning.build), build_(beginning.build), stage_(static_cast<int>(caps_.size()) - 1),
+      since_(sched.now()) {
+  for (const auto &[name, at] : beginning.nodes) start(name, at, build_, false, 0);
+  sched_.spawn(httpDoor(*discovery_, &Fleet::answerDiscovery));
+  sched_.spawn(httpDoor(*platform_, &Fleet::answerPlatform));
+}
+
+std::string Fleet::text(const net::Socket &listener) {
+  return "127.0.0.1:" + std::to_string(ntohs(net::localAddress(listener).at.sin_port));
+}
+
+Fleet::Node &Fleet::start(std::string name, net::Address at, int build, bool bad, long long since) {
+  auto &node = nodes_.emplace_back();
+  node.name = std::move(name);
+  node.build = build;
+  node.bad = bad;
+  node.since = since;
+  node.listener = net::listenAt(sched_, budget_, at);
+  ++started_;
+  changed(node);
+  sched_.spawn(nodeDoor(node));
+  return node;
+}
+
+void Fleet::changed(Node &node) {
+  node.version = ++version_;
+  listChanged_.notify();
+}
+
+std::string Fleet::list(bool whole, std::uint64_t after) const {
+  std::string out = "{\"index\":" + std::to_string(version_) + ",\"snapshot\":" + (whole ? "true" : "false") +
+                    ",\"endpoints\":[";
+  bool first = true;
+  for (const auto &n : nodes_) {
+    if (whole ? n.status == "terminated" : n.version <= after) continue;
+    if (!std::exchange(first, false)) out += ',';
+    out += "{\"name\":\"" + n.name + "\",\"address\":\"" + text(*n.listener) +
+           "\",\"zone\":\"here\",\"type\":\"toy\",\"group\":0,\"status\":\"" + n.status +
+           "\",\"weight\":1.0,\"since_ms\":" + std::to_string(n.since) +
+           ",\"release\":" + std::to_string(n.build) + "}";
+  }
+  return out + "]}";
+}
+
+std::string Fleet::news() const {
+  return http::writeForm({{"build", std::to_string(build_)},
+                          {"stage", std::to_string(stage_)},
+                          {"phase", phase_},
+                          {"cap", std::to_string(cap_)},
+                          {"age_ms", std::to_string((sched_.now() - since_) / kMs)}});
+}
+
+void Fleet::tell(int stage, const char *phase, double cap) {
+  stage_ = stage;
+  phase_ = phase;
+  cap_ = cap;
+  since_ = sched_.now();
+  newsChanged_.notify();
+}
+
+bool Fleet::offer(int build, bool bad) {
+  if (build <= build_ || build > 65535 || phase_ == "Progressing" || phase_ == "Aborting") return false;
+  build_ = build;
+  bad_ = bad;
+  tell(0, "Progressing", caps_.front());
+  sched_.spawn(fillStage());
+  return true;
+}
+
+bool Fleet::leave(const std::string &name) {
+  const auto it = std::find_if(nodes_.begin(), nodes_.end(),
+                               [&](const Node &n) { return n.name == name && n.status == "in_service"; });
+  if (it != nodes_.end()) sched_.spawn(drain(*it));
+  return it != nodes_.end();
+}
+
+net::Task<> Fleet::drain(Node &node) {
+  node.status = "terminating";
+  changed(node);
+  co_await sched_.sleep(kDrain);
+  node.status = "terminated";
+  changed(node);
+}
+
+net::Task<> Fleet::fillStage() {
+  co_await sched_.sleep(kBoot);
+  std::vector<Node *> earlier;
+  for (auto &n : nodes_)
+    if (n.status == "in_service" && n.build < build_) earlier.push_back(&n);
+  const bool last = stage_ + 1 == static_cast<int>(caps_.size());
+  const auto places = last ? earlier.size() : std::min<std::size_t>(earlier.size(), 1);
+  for (std::size_t i = 0; i < places; ++i) {
+    const auto at = net::parseAddress("127.0.0.1:0");
+    start("s-" + std::to_string(started_ + 1), *at, build_, bad_, unixMs());
+    sched_.spawn(drain(*earlier[i]));
+  }
+}
+
+net::Task<> Fleet::goBack() {
+  co_await sched_.sleep(kBoot);
+  const auto at = net::parseAddress("127.0.0.1:0");
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].status != "in_service" || nodes_[i].build != build_) continue;
+    sched_.spawn(drain(nodes_[i]));
+    start("s-" + std::to_string(started_ + 1), *at, released_, false, unixMs());
+  }
+  tell(stage_, "Aborted", 0);
+}
+
+bool Fleet::vote(const http::Fields &vote) {
+  if (number(http::value(vote, "build"), -1) != build_) return false;
+  const auto verdict = http::value(vote, "verdict");
+  const bool trial = phase_ == "Progressing";
+  if (verdict == "back" && (trial || phase_ == "Healthy")) {
+    tell(stage_, "Aborting", cap_);
+    sched_.spawn(goBack());
+  } else if (verdict == "on") {
+    if (!trial || number(http::value(vote, "stage"), -1) != stage_) return false;
+    if (stage_ + 1 == static_cast<int>(caps_.size())) {
+      released_ = build_;
+      tell(stage_, "Healthy", 1);
+    } else {
+      tell(stage_ + 1, "Progressing", caps_[static_cast<std::size_t>(stage_) + 1]);
+      sched_.spawn(fillStage());
+    }
+  }
+  return true;
+}
+
+net::Task<> Fleet::nodeDoor(Node &node) {
+  for (;;) {
+    auto socket = net::acceptNow(sched_, budget_, *node.listener);
+    if (!socket)
+      co_await node.listener->readable({});
+    else
+      sched_.spawn(nodeSession(node, std::move(*socket)));
+  }
+}
+
+net::Task<> Fleet::nodeSession(Node &node, std::unique_ptr<net::Socket> socket) {
+  net::Buffer buffer;
+  pg::Startup startup;
+  while (pg::parseStartup(buffer.view(), startup) == pg::Parsed::more)
+    if (co_await socket->read(buffer, {}) != Cause::none) co_return;
+  buffer.consume(startup.size);
+  std::string out;
+  pg::addWelcome(out, 1, 1);
+  pg::addReady(out);
+  for (;;) {
+    if (co_await socket->write(out, {}) != Cause::none) co_return;
+    out.clear();
+    pg::Message m;
+    while (pg::parseMessage(buffer.view(), m) == pg::Parsed::more)
+      if (co_await socket->read(buffer, {}) != Cause::none) co_return;
+    if (m.type != 'Q') co_return;
+    buffer.consume(m.size);
+    co_await sched_.sleep(kWork);
+    if (node.bad) {
+      pg::addError(out, {"ERROR", "XX000", "this build is bad"});
+    } else {
+      pg::addRow(out, "v", node.name + " runs build " + std::to_string(node.build));
+      pg::addComplete(out, "SELECT 1");
+    }
+    pg::addReady(out);
+  }
+}
+
+net::Task<> Fleet::httpDoor(net::Socket &listener, Handler handler) {
+  for (;;) {
+    auto socket = net::acceptNow(sched_, budget_, listener);
+    if (!socket)
+      co_await listener.readable({});
+    else
+      sched_.spawn(httpSession(std::move(*socket), handler));
+  }
+}
+
+net::Task<> Fleet::httpSession(std::unique_ptr<net::Socket> socket, Handler handler) {
+  net::Buffer buffer;
+  for (bool open = true; open;) {
+    http::Head head;
+    std::size_t size = 0;
+    auto parsed = http::Parsed::more;
+    while ((parsed = http::parseRequest(buffer.view(), head, size)) == http::Parsed::more)
+      if (co_await socket->read(buffer, {}) != Cause::none) co_return;
+    if (parsed == http::Parsed::bad) co_return;
+    buffer.consume(size);
+    http::Body rest(head, true);
+    std::string body;
+    for (;;) {
+      parsed = rest.take(buffer.view(), body, size);
+      buffer.consume(size);
+      if (parsed != http::Parsed::more) break;
+      if (co_await socket->read(buffer, {}) != Cause::none) co_return;
+    }
+    if (parsed == http::Parsed::bad) co_return;
+    open = co_await (this->*handler)(*socket, head, body);
+  }
+}
+
+// The list, the watch on it, and the toy's own order that a node leave.
+net::Task<bool> Fleet::answerDiscovery(net::Socket &socket, const http::Head &head, const std::string &body) {
+  http::Fields fields;
+  const auto mark = std::min(head.target.find('?'), head.target.size());
+  const auto path = head.target.substr(0, mark);
+  http::parseForm(std::string_view(head.target).substr(std::min(mark + 1, head.target.size())), fields);
+  std::string out;
+  if (path == "/leave" && head.method == "POST") {
+    http::Fields order;
+    const bool ok = http::parseForm(body, order) && leave(std::string(http::value(order, "name")));
+    out = answerOf(ok ? "200 OK" : "404 Not Found", "text/plain",
+                   ok ? "it leaves\n" : "no such node in service\n");
+    co_return co_await socket.write(out, {}) == Cause::none;
+  }
+  if (path != "/catalog/members" || http::value(fields, "stream") != "1") {
+    out = path == "/catalog/members" ? answerOf("200 OK", "application/json", list(true, 0) + "\n")
+                                     : answerOf("404 Not Found", "text/plain", "unknown\n");
+    co_return co_await socket.write(out, {}) == Cause::none;
+  }
+  out = streamHead("application/json") + chunk(list(true, 0) + "\n");
+  for (auto told = version_;;) {
+    if (co_await socket.write(out, {}) != Cause::none) co_return false;
+    const sched::Until until{sched_.now() + 2000 * kMs, nullptr};
+    if (told == version_) co_await sched_.wait(listChanged_, until);
+    out = chunk((told == version_ ? "" : list(false, told)) + "\n");
+    told = version_;
+  }
+}
+
+// Votes, the bulletin, and the toy's own order to offer a build.
+net::Task<bool> Fleet::answerPlatform(net::Socket &socket, const http::Head &head, const std::string &body) {
+  http::Fields fields;
+  std::string out;
+  if (head.target == "/bulletin") {
+    out = streamHead("text/event-stream");
+    for (std::string told;;) {
+      const bool newer = told != phase_ + std::to_string(stage_) + std::to_string(build_);
+      out += chunk(newer ? "event: stage\ndata: " + news() + "\n\n" : ":\n\n");
+      told = phase_ + std::to_string(stage_) + std::to_string(build_);
+      if (co_await socket.write(out, {}) != Cause::none) co_return false;
+      out.clear();
+      const sched::Until until{sched_.now() + 1000 * kMs, nullptr};
+      co_await sched_.wait(newsChanged_, until);
+    }
+  }
+  const bool form = http::parseForm(body, fields);
+  if (head.target == "/offer" && head.method == "POST") {
+    const bool ok = form && offer(number(http::value(fields, "build"), 0), http::value(fields, "bad") == "1");
+    out = answerOf(ok ? "200 OK" : "400 Bad Request", "text/plain",
+                   ok ? "it is on trial\n" : "one is on trial, or the number is no higher\n");
+  } else if (!form || http::value(fields, "Action") != "RecordOpinion") {
+    out = answerOf("400 Bad Request", "text/xml", "<Error><Code>SYNTAX</Code></Error>");
+  } else if (!vote(fields)) {
+    out = answerOf("400 Bad Request", "text/xml", "<Error><Code>STALE</Code></Error>");
+  } else {
+    http::Fields now;
+    http::parseForm(news(), now);
+    std::string item;
+    for (const auto &[name, value] : now) item += "<" + name + ">" + value + "</" + name + ">";
+    out = answerOf("200 OK", "text/xml",
+                   "<?xml version=\"1.0\"?>\n<Response><entries><item>" + item +
+                       "</item></entries></Response>");
+  }
+  co_return co_await socket.write(out, {}) == Cause::none;
+}
+
+} // namespace myrtlehead::example
--- /dev/null
+++ b/example/fleet.h
@@ -0,0 +1,70 @@
+// A toy fleet on loopback, to look at and to try a marshal with: nodes, discovery and platform in one
+// process. It keeps to the protocol's forms and has the project's own parsers; it is no measure of anything.
+#pragma once
+
+#include "http/http.h"
+#include "net/socket.h"
+
+#include <deque>
+
+namespace myrtlehead::example {
+
+class Fleet {
+public:
+  struct Beginning {
+    net::Address discovery, platform;
+    int build = 1;
+    std::vector<std::pair<std::string, net::Address>> nodes; // names and addresses
+    std::vector<double> caps;                                // by stage
+  };
+  Fleet(net::Scheduler &sched, net::Descriptors &budget, const Beginning &beginning);
+
+  std::string discovery() const { return text(*discovery_); }
+  std::string platform() const { return text(*platform_); }
+  std::string list(bool whole, std::uint64_t after) const; // in discovery's form
+  std::string news() const;                                // as a form
+
+  bool offer(int build, bool bad); // on trial from now on
+  bool leave(const std::string &name);
+  bool vote(const http::Fields &vote); // false: it is about something else by now
+
+private:
+  struct Node {
+    std::string name, status = "in_service";
+    int build = 0;
+    bool bad = false;
+    long long since = 0; // Unix time in milliseconds, 0: long ago
+    std::uint64_t version = 0;
+    std::unique_ptr<net::Socket> listener;
+  };
+  using Handler = net::Task<bool> (Fleet::*)(net::Socket &, const http::Head &, const std::string &);
+
+  static std::string text(const net::Socket &listener);
+  Node &start(std::string name, net::Address at, int build, bool bad, long long since);
+  net::Task<> nodeDoor(Node &node);
+  net::Task<> nodeSession(Node &node, std::unique_ptr<net::Socket> socket);
+  net::Task<> httpDoor(net::Socket &listener, Handler handler);
+  net::Task<> httpSession(std::unique_ptr<net::Socket> socket, Handler handler);
+  net::Task<bool> answerDiscovery(net::Socket &socket, const http::Head &head, const std::string &body);
+  net::Task<bool> answerPlatform(net::Socket &socket, const http::Head &head, const std::string &body);
+  net::Task<> fillStage();       // the stage's part of the fleet gets the newest build
+  net::Task<> goBack();          // and loses it again
+  net::Task<> drain(Node &node); // listed as leaving, then as gone
+  void changed(Node &node);
+  void tell(int stage, const char *phase, double cap);
+
+  net::Scheduler &sched_;
+  net::Descriptors &budget_;
+  std::unique_ptr<net::Socket> discovery_, platform_;
+  std::deque<Node> nodes_;
+  std::uint64_t version_ = 1;
+  std::vector<double> caps_;
+  int released_ = 0, build_ = 0, stage_ = 0, started_ = 0;
+  bool bad_ = false;
+  std::string phase_ = "Healthy";
+  double cap_ = 1;
+  net::Ns since_ = 0;
+  sched::Signal listChanged_, newsChanged_;
+};
+
+} // namespace myrtlehead::example
--- /dev/null
+++ b/example/main.cpp
@@ -0,0 +1,50 @@
+// toy_fleet CONFIGURATION: stands in for the nodes, discovery and platform that a marshal's configuration
+// names.
+#include "example/fleet.h"
+#include "setup/station.h"
+#include "json/json.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace myrtlehead;
+
+example::Fleet::Beginning beginningOf(const setup::Station &station) {
+  example::Fleet::Beginning out{station.discovery, station.platform, 1, {}, station.deployment.rollout.caps};
+  if (const auto *build = station.news.find("build")) out.build = static_cast<int>(build->real);
+  const auto *endpoints = station.known.find("endpoints");
+  if (endpoints != nullptr)
+    for (const auto &e : endpoints->items) {
+      const auto *name = e.find("name"), *address = e.find("address");
+      const auto at = address != nullptr ? net::parseAddress(address->text) : std::nullopt;
+      if (name != nullptr && at) out.nodes.emplace_back(name->text, *at);
+    }
+  if (out.nodes.empty() || out.caps.empty())
+    throw setup::SetupError("the configuration names no nodes or no stages");
+  return out;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  if (argc != 2) {
+    std::cerr << "usage: toy_fleet CONFIGURATION\n";
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    const auto station = setup::readStation(setup::readFile(argv[1]));
+    sched::Scheduler sched;
+    sched.onThrow = [](const char *what) { std::cerr << "toy_fleet: " << what << '\n'; };
+    net::Descriptors budget(1000);
+    example::Fleet fleet(sched, budget, beginningOf(station));
+    std::cout << "discovery at " << fleet.discovery() << ", platform at " << fleet.platform() << std::endl;
+    sched.run();
+  } catch (const std::exception &e) {
+    std::cerr << "toy_fleet: " << e.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- a/src/calls/exchange.cpp
+++ b/src/calls/exchange.cpp
@@ -6,6 +6,10 @@
 using net::Failure;
 using net::Reach;
 
+namespace {
+constexpr std::size_t kMostBody = 4 * 1024 * 1024; // held and not yet taken
+}
+
 net::Task<Failure> Exchange::ask(net::Address to, std::string request, net::Until until) {
   auto connected = co_await net::connect(sched_, budget_, to, until);
   if (!connected) co_return connected.failure();
@@ -25,7 +29,7 @@
   }
   rest_ = http::Body(head_);
   const auto taken = takeBody();
-  co_return Failure{taken == Cause::unreadable ? taken : Cause::none, Reach::answering};
+  co_return Failure{taken == Cause::ended ? Cause::none : taken, Reach::answering};
 }
 
 Cause Exchange::takeBody() {
@@ -33,6 +37,7 @@
   const auto parsed = rest_.take(buffer_.view(), body, used);
   buffer_.consume(used);
   if (parsed == http::Parsed::bad) return Cause::unreadable;
+  if (body.size() > kMostBody) return Cause::tooBig;
   whole_ = parsed == http::Parsed::whole;
   return whole_ ? Cause::ended : Cause::none;
 }
@@ -44,7 +49,7 @@
     if (read == Cause::ended) co_return rest_.untilEnd() ? Cause::ended : Cause::broken;
     if (read != Cause::none) co_return read;
     const auto taken = takeBody();
-    if (taken == Cause::unreadable) co_return taken;
+    if (taken == Cause::unreadable || taken == Cause::tooBig) co_return taken;
     if (body.size() > before) co_return Cause::none;
   }
   co_return Cause::ended;
--- a/src/catalog/watch.cpp
+++ b/src/catalog/watch.cpp
@@ -44,7 +44,7 @@
     cause = co_await call.more(next);
   }
   if (turn != turn_) co_return; // replaced meanwhile
-  log_.info("watch on discovery ended: cause ", static_cast<int>(cause), ", status ", call.head().status);
+  log_.info("watch on discovery ended: ", net::word(cause), ", status ", call.head().status);
   marshal_.listFailed();
 }
 
--- a/src/clients/door.cpp
+++ b/src/clients/door.cpp
@@ -20,13 +20,19 @@
 } // namespace
 
 Door::Door(net::Scheduler &sched, net::Descriptors &budget, Marshal &marshal, nodes::Pool &pool,
-           log::Log &log, net::Address listen, std::vector<std::string> routes)
+           log::Log &log, net::Address listen, std::vector<std::string> routes, std::vector<Ns> routeTimeouts)
     : sched_(sched), budget_(budget), marshal_(marshal), pool_(pool), log_(log), routes_(std::move(routes)),
-      listener_(net::listenAt(sched, budget, listen)) {}
+      routeTimeouts_(std::move(routeTimeouts)), listener_(net::listenAt(sched, budget, listen)) {}
 
 // Guards the descriptors that nodes and control connections need: the longest idle client goes first.
 bool Door::makeRoom() {
-  if (budget_.left() > budget_.most() / kKept) return true;
+  const bool enough = budget_.left() > budget_.most() / kKept;
+  if (enough == short_) {
+    short_ = !enough;
+    log_.info(short_ ? "descriptors are short, idle clients are closed: " : "descriptors suffice again: ",
+              budget_.left(), " left of ", budget_.most());
+  }
+  if (enough) return true;
   if (!idle_.empty()) idle_.front()->stopIdling();
   return false;
 }
@@ -48,6 +54,8 @@
       log_.warning("no descriptor left for a client");
       if (!pool_.closeOldestIdle() && !idle_.empty()) idle_.front()->stopIdling();
       co_await sched_.sleep(kRetryAccept, &noMore_);
+    } else {
+      co_await sched_.sleep(kMs, &noMore_); // that client has gone already
     }
   }
 }
--- a/src/clients/door.h
+++ b/src/clients/door.h
@@ -10,7 +10,7 @@
 class Door {
 public:
   Door(net::Scheduler &sched, net::Descriptors &budget, Marshal &marshal, nodes::Pool &pool, log::Log &log,
-       net::Address listen, std::vector<std::string> routes);
+       net::Address listen, std::vector<std::string> routes, std::vector<Ns> routeTimeouts);
 
   net::Task<> accept();
   // New connections and reqs are still taken for a while; then idle connections go, the others as they are
@@ -27,8 +27,10 @@
   nodes::Pool &pool_;
   log::Log &log_;
   std::vector<std::string> routes_;
+  std::vector<Ns> routeTimeouts_;
   std::unique_ptr<net::Socket> listener_;
   sched::Stop noMore_; // ends accept()
+  bool short_ = false; // of descriptors
   std::uint32_t sessions_ = 0;
   std::list<class Session *> all_;
   std::list<class Session *> idle_; // waiting for a req, the longest first
--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -176,7 +176,9 @@
 
 net::Task<bool> Session::serve(const pg::Statement &statement, int route) {
   auto &marshal = door_.marshal_;
-  Call call(route, statement.key, statement.patienceMs * kMs, statement.repeat, door_.sched_.now());
+  const Ns patience = std::min(statement.patienceMs * kMs,
+                               door_.routeTimeouts_[static_cast<std::size_t>(route)]);
+  Call call(route, statement.key, patience, statement.repeat, door_.sched_.now());
   auto choice = co_await marshal.pick(call, gone_);
   std::string out;
   while (choice.what == Choice::send) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -74,7 +74,8 @@
   else if (station.news.kind != json::Value::null)
     throw setup::SetupError("the configuration's 'platform.news' can't be read");
 
-  clients::Door door(sched, budget, marshal, pool, log, station.listen, station.routes);
+  clients::Door door(sched, budget, marshal, pool, log, station.listen, station.routes,
+                     station.routeTimeouts);
   sched.spawn(marshal.tick());
   sched.spawn(watch.run());
   sched.spawn(desk.sendVotes());
@@ -86,7 +87,8 @@
   }
   sched.spawn(door.accept());
   sched.spawn(endOnSignal(sched, signals, door, log));
-  log.info("marshal ", station.name, " serves ", station.routes.size(), " routes");
+  log.info("marshal ", station.name, " serves ", station.routes.size(), " routes at ",
+           net::text(door.address()));
   sched.run();
   sched.endAll(); // before what the coroutines refer to
 }
--- a/src/net/result.h
+++ b/src/net/result.h
@@ -22,6 +22,13 @@
 // How far an attempt had come when it failed.
 enum class Reach { unconnected, partlyWritten, writtenWhole, answering };
 
+inline const char *word(Cause c) {
+  constexpr const char *kWords[] = {
+      "none",    "timed out", "stopped",    "ended by the other side", "broken",
+      "refused", "too big",   "unreadable", "no descriptor left",      "withdrawn"};
+  return kWords[static_cast<int>(c)];
+}
+
 struct Failure {
   Cause cause = Cause::none;
   Reach reach = Reach::unconnected;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -60,6 +60,12 @@
   return a;
 }
 
+std::string text(const Address &address) {
+  char host[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &address.at.sin_addr, host, sizeof host);
+  return std::string(host) + ":" + std::to_string(ntohs(address.at.sin_port));
+}
+
 Socket::Socket(Scheduler &sched, Descriptors &budget, int fd) : sched_(sched), budget_(budget), fd_(fd) {
   budget_.take();
   sched_.watch(fd, *this);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -25,6 +25,7 @@
   }
 };
 std::optional<Address> parseAddress(std::string_view text); // "10.1.0.18:6432"
+std::string text(const Address &address);
 
 // One descriptor, known to the scheduler and the budget for as long as it lives.
 class Socket final : private sched::Watched {
--- a/src/nodes/pool.cpp
+++ b/src/nodes/pool.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr int kControlShare = 16; // descriptors that calls and accepts may still want
+constexpr int kControlShare = 16; // descriptors kept for calls on discovery and the platform
 
 // The next message of a connection, at the front of its buffer until it is consumed.
 net::Task<Failure> nextMessage(net::Socket &socket, net::Buffer &buffer, net::Until until, Reach reach,
@@ -33,7 +33,7 @@
 
 Outcome outcomeOf(const Failure &failure) {
   const bool written = failure.reach == Reach::writtenWhole || failure.reach == Reach::answering;
-  if (failure.cause == Cause::withdrawn) return Outcome::notSent;
+  if (failure.cause == Cause::withdrawn || failure.cause == Cause::noDescriptor) return Outcome::notSent;
   if (failure.cause == Cause::stopped) return written ? Outcome::cancelled : Outcome::notSent;
   if (!written) return Outcome::unreachable;
   return failure.cause == Cause::timedOut ? Outcome::timedOut : Outcome::reset;
@@ -92,7 +92,7 @@
   const auto address = net::parseAddress(target.address);
   if (!address) co_return Failure{Cause::refused};
   until.at = std::min(until.at, sched_.now() + connectWithin_);
-  if (budget_.left() <= kControlShare) closeOldestIdle();
+  if (budget_.left() <= kControlShare && !closeOldestIdle()) co_return Failure{Cause::noDescriptor};
   auto connected = co_await net::connect(sched_, budget_, *address, until);
   if (!connected) co_return connected.failure();
   auto c = std::make_unique<Connection>();
--- a/src/peers/datagrams.h
+++ b/src/peers/datagrams.h
@@ -17,6 +17,7 @@
 
   net::Task<> send();
   net::Task<> receive();
+  net::Address address() const { return net::localAddress(*socket_); }
 
 private:
   std::unique_ptr<net::Socket> socket_;
--- a/src/platform/desk.cpp
+++ b/src/platform/desk.cpp
@@ -39,7 +39,7 @@
 net::Task<> Desk::readBulletin() {
   for (;;) {
     const auto cause = co_await follow();
-    log_.info("bulletin of the platform ended: cause ", static_cast<int>(cause));
+    log_.info("bulletin of the platform ended: ", net::word(cause));
     co_await sched_.sleep(kAgain);
   }
 }
--- a/src/platform/desk.h
+++ b/src/platform/desk.h
@@ -16,9 +16,9 @@
 
   net::Task<> sendVotes();
   net::Task<> readBulletin();
+  net::Task<Answer> call(std::string form);
 
 private:
-  net::Task<Answer> call(std::string form);
   net::Task<net::Cause> follow();
   void event(const http::Event &event);
   net::Scheduler &sched_;
--- a/src/setup/station.cpp
+++ b/src/setup/station.cpp
@@ -74,6 +74,8 @@
   const auto paths = Paths::ofJson(settings);
   s.deployment = readDeployment(paths);
   s.routes = names(settings, "services", "name");
+  for (std::size_t i = 0; i < s.routes.size(); ++i)
+    s.routeTimeouts.push_back(paths.micros("services." + std::to_string(i) + ".deadlineUs", 60 * kSec));
   s.zones = names(settings, "failureDomains", nullptr);
   if (const auto *report = settings.find("telemetry")) s.loadNames = names(*report, "fields", nullptr);
   s.connectWithin = paths.micros("limits.connectTimeoutUs", kSec);
--- a/src/setup/station.h
+++ b/src/setup/station.h
@@ -14,6 +14,7 @@
   int descriptors = 0;
   Deployment deployment;
   std::vector<std::string> routes, zones, loadNames; // by their numbers
+  std::vector<Ns> routeTimeouts;
   Ns connectWithin = 0, idleAtMost = 0, callWithin = 0;
   json::Value known, news; // in the forms of discovery and of the platform
 };
--- /dev/null
+++ b/tests/control_test.cpp
@@ -0,0 +1,292 @@
+// The facade, the configuration, and what discovery, the platform and other marshals may do to them.
+#include "helpers.h"
+
+#include "catalog/watch.h"
+#include "peers/datagrams.h"
+#include "platform/desk.h"
+#include "setup/station.h"
+
+using namespace myrtlehead;
+
+// A marshal and its control connections, before one stand-in that speaks HTTP by a script.
+struct Calls {
+  explicit Calls(StandIn::Script script)
+      : server(loop, std::move(script)), marshal(loop.sched, deployment(), 7, loop.log),
+        watch(loop.sched, loop.budget, marshal, loop.log, *net::parseAddress(server.address()), {"hall-a"},
+              0),
+        desk(loop.sched, loop.budget, marshal, loop.log, *net::parseAddress(server.address()),
+             {"read", "write"}, 100 * kMs) {}
+  static Deployment deployment() {
+    auto d = smallDeployment();
+    d.listAsked = true;
+    return d;
+  }
+  Loop loop;
+  StandIn server;
+  Marshal marshal;
+  catalog::Watch watch;
+  platform::Desk desk;
+};
+
+static sched::Task<std::string> requestLine(net::Socket &s, net::Buffer &b) {
+  http::Head head;
+  std::size_t size = 0;
+  while (http::parseRequest(b.view(), head, size) != http::Parsed::whole)
+    if (co_await s.read(b, {}) != net::Cause::none) co_return "";
+  b.consume(size);
+  co_return head.method + " " + head.target;
+}
+
+static std::string chunk(std::string_view text) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+  return size + std::string(text) + "\r\n";
+}
+
+static const std::string kStream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+static std::string listLine(int index, const char *status, int build = 1) {
+  return "{\"index\":" + std::to_string(index) +
+         ",\"snapshot\":false,\"endpoints\":[{\"name\":\"s-1\",\"address\":"
+         "\"127.0.0.1:9\",\"status\":\"" +
+         status + "\",\"release\":" + std::to_string(build) + "}]}\n";
+}
+
+static void aTryIsOnlyMeantWhileListAndNewsStand() {
+  Loop loop;
+  Marshal marshal(loop.sched, smallDeployment(), 7, loop.log);
+  const auto list = [&](Mode mode, int build) {
+    marshal.listed({{"s-1", "127.0.0.1:9", {.build = build, .mode = mode}}}, false, false);
+  };
+  marshal.news({1, 2, Phase::released, 1, 0});
+  list(Mode::ready, 1);
+  auto body = [&]() -> sched::Task<> {
+    sched::Stop stop;
+    const auto picked = [&](Call &call) -> sched::Task<> {
+      const auto choice = co_await marshal.pick(call, stop);
+      assert(choice.what == Choice::send && choice.target->name == "s-1" && choice.until > loop.sched.now());
+    };
+    Call drained(0, 0, kSec, false, loop.sched.now()), replaced(0, 0, kSec, false, loop.sched.now());
+    Call back(0, 0, kSec, false, loop.sched.now());
+    co_await picked(drained);
+    list(Mode::ready, 1);
+    assert(marshal.stillMeant(drained)); // listed again as it was
+    list(Mode::draining, 1);
+    assert(!marshal.stillMeant(drained));
+    list(Mode::ready, 1);
+    co_await picked(replaced);
+    list(Mode::ready, 2);
+    assert(!marshal.stillMeant(replaced));
+    marshal.news({2, 2, Phase::released, 1, 0});
+    co_await picked(back);
+    marshal.news({2, 2, Phase::goingBack, 0.5, 0});
+    assert(!marshal.stillMeant(back));
+    assert(marshal.report(drained, Outcome::completed).what == Choice::nothing);
+  };
+  loop.run(body());
+}
+
+static void aHeldReqGoesOutOnceANodeIsListed() {
+  Loop loop;
+  Marshal marshal(loop.sched, smallDeployment(), 7, loop.log);
+  marshal.news({1, 2, Phase::released, 1, 0});
+  auto list = [&]() -> sched::Task<> {
+    co_await loop.sched.sleep(50 * kMs);
+    marshal.listed({{"s-1", "127.0.0.1:9", {.build = 1}}}, true, false);
+  };
+  auto body = [&]() -> sched::Task<> {
+    sched::Stop stop, left;
+    loop.sched.spawn(list());
+    Call call(0, 0, kSec, false, loop.sched.now()), none(0, 0, kSec, false, loop.sched.now());
+    left.request();
+    assert((co_await marshal.pick(none, left)).what == Choice::nothing); // its client has gone
+    assert((co_await marshal.pick(call, stop)).what == Choice::send);
+  };
+  loop.run(body());
+}
+
+static void theWatchIsFollowedAndAskedForAgain() {
+  std::vector<std::string> asked;
+  auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    asked.push_back(co_await requestLine(s, b));
+    std::string out = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"; // the first call fails
+    if (asked.size() == 2) { // a line in two chunks, an empty one, then one that is no list
+      const auto line = listLine(43, "in_service");
+      out = kStream + chunk(line.substr(0, 20)) + chunk(line.substr(20) + "\n") + chunk("{\"index\":44}\n");
+    }
+    if (asked.size() == 3) out = kStream + chunk(listLine(45, "terminating"));
+    co_await s.write(out, {});
+    if (asked.size() < 3) co_return;
+    co_await s.read(b, {});
+  };
+  Calls c(script);
+  auto body = [&]() -> sched::Task<> {
+    const auto known = json::parse(R"({"index":41,"snapshot":true,"endpoints":[]})");
+    assert(c.watch.start(*known) && !c.watch.start(json::Value{}));
+    c.loop.sched.spawn(c.marshal.tick());
+    c.loop.sched.spawn(c.watch.run());
+    while (c.marshal.find("s-1") == nullptr) co_await c.loop.sched.sleep(kMs);
+    assert(c.marshal.find("s-1")->listed && c.marshal.find("s-1")->address == "127.0.0.1:9");
+    while (c.marshal.find("s-1")->listed) co_await c.loop.sched.sleep(kMs);
+    assert(asked[0] == "GET /catalog/members?stream=1&index=41" && asked[1] == asked[0]);
+    assert(asked[2] == "GET /catalog/members?stream=1&index=43");
+  };
+  c.loop.run(body());
+}
+
+static const std::string kNews =
+    "<Response><entries><item><build>2</build><stage>1</stage><phase>Progressing</phase>"
+    "<cap>0.5</cap><age_ms>0</age_ms></item></entries></Response>";
+
+// The outcome of one vote, by what the platform does with its call.
+static Reply replyTo(StandIn::Script script, const char *elsewhere = nullptr) {
+  Calls c(std::move(script));
+  const auto at = *net::parseAddress(elsewhere != nullptr ? elsewhere : c.server.address());
+  platform::Desk desk(c.loop.sched, c.loop.budget, c.marshal, c.loop.log, at, {}, 100 * kMs);
+  Reply reply{};
+  auto body = [&]() -> sched::Task<> { reply = (co_await desk.call("Action=RecordOpinion")).reply; };
+  c.loop.run(body());
+  return reply;
+}
+
+static void aVoteIsAnsweredOrMayCount() {
+  const auto says = [](std::string answer) -> StandIn::Script {
+    return [=](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+      assert(co_await requestLine(s, b) == "POST /");
+      co_await s.write(answer, {});
+    };
+  };
+  const auto whole = [](const char *status, const std::string &body) {
+    return std::string("HTTP/1.1 ") + status + "\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  };
+  assert(replyTo(says(whole("200 OK", kNews))) == Reply::ok);
+  assert(replyTo(says(whole("400 Bad", "<Error><Code>BUSY</Code></Error>"))) == Reply::full);
+  assert(replyTo(says(whole("400 Bad", "<Error><Code>STALE</Code></Error>"))) == Reply::moot);
+  assert(replyTo(says(whole("500 Bad", "<Error><Code>FAILED</Code></Error>"))) == Reply::error);
+  assert(replyTo(says(whole("200 OK", kNews).substr(0, 90))) == Reply::timedOut); // it may have counted
+  assert(replyTo(says("")) == Reply::timedOut);
+  assert(replyTo(says(whole("200 OK", "<odd"))) == Reply::timedOut);
+  assert(replyTo([](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+           while (co_await s.read(b, {}) == net::Cause::none) {}
+         }) == Reply::timedOut);                    // no answer in the call's time
+  assert(replyTo(says(""), "127.0.0.1:1") == Reply::error); // never connected
+}
+
+static void theBulletinIsReadAndOpenedAgain() {
+  auto script = [](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    assert(co_await requestLine(s, b) == "GET /bulletin");
+    const auto out =
+        kStream + chunk(":\n\nevent: stage\nda") +
+        chunk("ta: build=2&stage=0&phase=Progressing&cap=0.1&age_ms=5\n\n") +
+        chunk("event: flag\ndata: server=odd&class=read&age_ms=1\n\nevent: stage\ndata: build=x\n\n");
+    co_await s.write(out, {});
+  };
+  Calls c(script);
+  auto body = [&]() -> sched::Task<> {
+    c.loop.sched.spawn(c.desk.readBulletin());
+    while (c.server.accepted < 2) co_await c.loop.sched.sleep(kMs);
+    assert(c.loop.lines.str().find("can't be read: stage") != std::string::npos);
+    // The news has come: a node of the named build counts as on trial, and so does not take a first write.
+    c.marshal.listed({{"s-1", "127.0.0.1:9", {.build = 2}}}, true, false);
+    sched::Stop stop;
+    Call call(0, 0, kSec, false, c.loop.sched.now());
+    assert((co_await c.marshal.pick(call, stop)).what != Choice::send); // no credit is left to it
+  };
+  c.loop.run(body());
+}
+
+static void datagramsFromElsewhereAreIgnored() {
+  Loop loop;
+  auto d = smallDeployment();
+  d.marshals = 2;
+  Marshal marshal(loop.sched, d, 7, loop.log);
+  const auto any = *net::parseAddress("127.0.0.1:0");
+  auto peer = net::datagramsAt(loop.sched, loop.budget, any),
+       foreign = net::datagramsAt(loop.sched, loop.budget, any);
+  peers::Datagrams notes(loop.sched, loop.budget, marshal, any, {any, net::localAddress(*peer)}, any);
+  const auto to = notes.address();
+  marshal.news({2, 0, Phase::trial, 0.1, 0});
+  const auto against = pack({0, 2, 9, 50, 60});
+  const auto send = [&](const net::Socket &from, std::size_t size) {
+    std::vector<std::uint8_t> bytes = against;
+    bytes.resize(size);
+    assert(sendto(from.fd(), bytes.data(), size, 0, reinterpret_cast<const sockaddr *>(&to.at),
+                  sizeof to.at) > 0);
+  };
+  auto body = [&]() -> sched::Task<> {
+    loop.sched.spawn(notes.receive());
+    loop.sched.spawn(marshal.tick());
+    send(*foreign, against.size());
+    send(*peer, 300);
+    send(*peer, 3);
+    co_await loop.sched.sleep(20 * kMs);
+    assert(loop.lines.str().find("judged bad") == std::string::npos);
+    send(*peer, against.size());
+    co_await loop.sched.sleep(20 * kMs);
+    assert(loop.lines.str().find("judged bad") != std::string::npos);
+    const auto vote = co_await marshal.nextVote();
+    assert(vote.verdict == Verdict::back && vote.build == 2);
+  };
+  loop.run(body());
+}
+
+static const std::string kStation =
+    R"({"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f",
+  "limits":{"sockets":512},"peer_listen":"127.0.0.1:3","peers":["127.0.0.1:3","127.0.0.1:4"],
+  "platform":{"address":"127.0.0.1:5"},"settings":{"me":1,"peersTotal":2,"limits":{"peers":true,"connIdleUs":7000},
+  "failureDomains":["a","b"],"familyInfo":{"caps":[0.1,1.0],"control":"by_count"},"telemetry":{"fields":["cpu","waiting"]},
+  "services":[{"name":"read","effect":"free","onTimeUs":5000},{"name":"write","effect":"guarded"}]}})";
+
+static void theConfigurationIsDecodedOnce() {
+  const auto s = setup::readStation(kStation);
+  assert(s.name == "n0" && s.seed == 0x8c1f && s.descriptors == 512 && s.peers.size() == 2);
+  assert(s.routes == (std::vector<std::string>{"read", "write"}) && s.zones.size() == 2 &&
+         s.loadNames.size() == 2);
+  assert(s.deployment.me == 1 && s.deployment.marshals == 2 && s.deployment.peers && s.idleAtMost == 7 * kMs);
+  assert(s.deployment.routes[0].objective == 5 * kMs && s.deployment.routes[1].repeat == Repeat::deduped);
+  assert(s.deployment.rollout.caps == (std::vector<double>{0.1, 1}) &&
+         s.deployment.loadFields[1] == LoadField::waiting);
+}
+
+static void aBadConfigurationIsNamed() {
+  const auto fault = [](std::string from, const std::string &to) {
+    auto text = kStation;
+    if (!from.empty()) text.replace(text.find(from), from.size(), to);
+    try {
+      setup::readStation(from.empty() ? to : text);
+    } catch (const setup::SetupError &e) {
+      return std::string(e.what());
+    }
+    return std::string();
+  };
+  assert(fault("", "{").find("no JSON") != std::string::npos &&
+         fault("", "[]").find("no JSON") != std::string::npos);
+  assert(fault("127.0.0.1:2", "nowhere").find("discovery") != std::string::npos);
+  assert(fault("\"8c1f\"", "\"xyz\"").find("seed") != std::string::npos);
+  assert(fault(R"("name":"n0",)", "").find("name") != std::string::npos);
+  assert(fault("512", "-1").find("limits.sockets") != std::string::npos);
+  assert(fault(R"(,"127.0.0.1:4")", "").find("peers") != std::string::npos);
+  assert(fault("\"me\":1", "\"me\":\"x\"").find("me") != std::string::npos);
+  assert(fault("guarded", "magic").find("effect") != std::string::npos);
+}
+
+static void logsFilterByLevel() {
+  std::ostringstream out;
+  log::Log log(out, log::Level::warning);
+  log.info("quiet");
+  log.warning("build ", 7);
+  assert(out.str() == "warning: build 7\n" && !log::parseLevel("loud") && log::parseLevel("info"));
+}
+
+int main() {
+  aTryIsOnlyMeantWhileListAndNewsStand();
+  aHeldReqGoesOutOnceANodeIsListed();
+  theWatchIsFollowedAndAskedForAgain();
+  aVoteIsAnsweredOrMayCount();
+  theBulletinIsReadAndOpenedAgain();
+  datagramsFromElsewhereAreIgnored();
+  theConfigurationIsDecodedOnce();
+  aBadConfigurationIsNamed();
+  logsFilterByLevel();
+}
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -1,10 +1,17 @@
-// Shared by the tests: a small deployment and the state around a guard, built directly.
+// Shared by the tests: a small deployment and the state around a guard, built directly; a scheduler to run
+// network code on, and a stand-in for a node.
 #pragma once
 
 #include "guard/guard.h"
+#include "net/socket.h"
+#include "nodes/pool.h"
+#include "pg/message.h"
 
 #include <cassert>
 #include <cstdio>
+#include <functional>
+#include <sstream>
+#include <sys/socket.h>
 #include <vector>
 
 namespace myrtlehead {
@@ -66,4 +73,104 @@
   Guard guard;
 };
 
+// A scheduler with what network code needs; run() ends with the task, or fails after ten seconds.
+struct Loop {
+  void run(sched::Task<> task) {
+    sched.spawn(guarded(std::move(task)));
+    sched.spawn(tooLong());
+    sched.run();
+    sched.endAll();
+    assert(done);
+  }
+  std::pair<std::unique_ptr<net::Socket>, std::unique_ptr<net::Socket>> pair() {
+    int fds[2];
+    assert(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds) == 0);
+    return {std::make_unique<net::Socket>(sched, budget, fds[0]),
+            std::make_unique<net::Socket>(sched, budget, fds[1])};
+  }
+  static std::string text(const net::Address &a) {
+    return "127.0.0.1:" + std::to_string(ntohs(a.at.sin_port));
+  }
+
+  sched::Scheduler sched;
+  net::Descriptors budget{1000};
+  std::ostringstream lines;
+  log::Log log{lines, log::Level::debug};
+  bool done = false;
+
+private:
+  sched::Task<> guarded(sched::Task<> task) {
+    co_await task;
+    done = true;
+    sched.halt();
+  }
+  sched::Task<> tooLong() {
+    co_await sched.sleep(10 * kSec);
+    sched.halt();
+  }
+};
+
+// A stand-in for a node: a listener on loopback whose connections are served by a script.
+struct StandIn {
+  using Script = std::function<sched::Task<>(net::Socket &, net::Buffer &)>;
+  StandIn(Loop &l, Script s)
+      : loop(l), script(std::move(s)),
+        listener(net::listenAt(l.sched, l.budget, *net::parseAddress("127.0.0.1:0"))) {
+    loop.sched.spawn(accept());
+  }
+  std::string address() const { return Loop::text(net::localAddress(*listener)); }
+
+  // Reads the startup message and admits; the scripts' usual beginning.
+  static sched::Task<bool> admit(net::Socket &s, net::Buffer &b) {
+    pg::Startup startup;
+    while (pg::parseStartup(b.view(), startup) != pg::Parsed::whole)
+      if (co_await s.read(b, {}) != net::Cause::none) co_return false;
+    b.consume(startup.size);
+    std::string out;
+    pg::addWelcome(out, 1, 2);
+    pg::addReady(out);
+    co_return co_await s.write(out, {}) == net::Cause::none;
+  }
+  // The next query's text; empty at the connection's end.
+  static sched::Task<std::string> query(net::Socket &s, net::Buffer &b) {
+    pg::Message m;
+    while (pg::parseMessage(b.view(), m) != pg::Parsed::whole)
+      if (co_await s.read(b, {}) != net::Cause::none) co_return "";
+    std::string text(m.body.substr(0, m.body.size() - 1));
+    b.consume(m.size);
+    co_return text;
+  }
+  static std::string row(std::string_view value, std::string_view load = {}) {
+    std::string out;
+    if (!load.empty()) pg::addMessage(out, 'S', "load" + std::string(1, '\0') + std::string(load) + '\0');
+    pg::addRow(out, "v", value);
+    pg::addComplete(out, "SELECT 1");
+    pg::addReady(out);
+    return out;
+  }
+
+  Loop &loop;
+  Script script;
+  std::unique_ptr<net::Socket> listener;
+  int accepted = 0, ended = 0;
+  std::vector<std::string> queries;
+
+private:
+  sched::Task<> accept() {
+    for (;;) {
+      auto socket = net::acceptNow(loop.sched, loop.budget, *listener);
+      if (socket)
+        loop.sched.spawn(serve(std::move(*socket)));
+      else
+        co_await listener->readable({});
+    }
+  }
+  sched::Task<> serve(std::unique_ptr<net::Socket> socket) {
+    ++accepted;
+    net::Buffer buffer;
+    co_await script(*socket, buffer);
+    ++ended;
+  }
+};
+
 } // namespace myrtlehead
--- /dev/null
+++ b/tests/scheduler_test.cpp
@@ -0,0 +1,178 @@
+// The scheduler: order, times, signals, stops, and coroutines that are ended while they wait.
+#include "helpers.h"
+
+#include <stdexcept>
+#include <time.h>
+#include <unistd.h>
+
+using namespace myrtlehead;
+
+static void runsInOrder() {
+  Loop loop;
+  std::string order;
+  auto one = [&](char c, Ns after) -> sched::Task<> {
+    co_await loop.sched.sleep(after);
+    order += c;
+  };
+  auto all = [&]() -> sched::Task<> {
+    loop.sched.spawn(one('c', 20 * kMs));
+    loop.sched.spawn(one('b', 10 * kMs));
+    loop.sched.spawn(one('a', 0));
+    loop.sched.spawn(one('B', 10 * kMs)); // as long, asked for later
+    co_await loop.sched.sleep(40 * kMs);
+  };
+  loop.run(all());
+  assert(order == "abBc");
+}
+
+static void signalsWakeAllThatWait() {
+  Loop loop;
+  sched::Signal signal;
+  int woken = 0, late = 0;
+  auto waiter = [&]() -> sched::Task<> {
+    if (co_await loop.sched.wait(signal) == sched::Woken::signalled) ++woken;
+  };
+  auto impatient = [&]() -> sched::Task<> {
+    const sched::Until until{loop.sched.now() + 5 * kMs, nullptr};
+    if (co_await loop.sched.wait(signal, until) == sched::Woken::timedOut) ++late;
+  };
+  auto all = [&]() -> sched::Task<> {
+    signal.notify(); // nobody waits yet: it is not kept
+    loop.sched.spawn(waiter());
+    loop.sched.spawn(waiter());
+    loop.sched.spawn(impatient());
+    co_await loop.sched.sleep(30 * kMs);
+    signal.notify();
+    co_await loop.sched.sleep(0);
+  };
+  loop.run(all());
+  assert(woken == 2 && late == 1);
+}
+
+static void stopsLast() {
+  Loop loop;
+  sched::Stop stop;
+  auto all = [&]() -> sched::Task<> {
+    auto request = [&]() -> sched::Task<> {
+      stop.request();
+      co_return;
+    };
+    loop.sched.spawn(request());
+    assert(co_await loop.sched.sleep(10 * kSec, &stop) == sched::Woken::stopped);
+    assert(co_await loop.sched.sleep(10 * kSec, &stop) == sched::Woken::stopped); // and again
+  };
+  loop.run(all());
+}
+
+// Whoever drops a task ends its coroutine, whether it waits for a time, a signal or its turn.
+static void endsWhatWaits() {
+  Loop loop;
+  sched::Signal signal;
+  int destroyed = 0, finished = 0;
+  struct Mark {
+    int &count;
+    ~Mark() { ++count; }
+  };
+  auto waits = [&](bool timed) -> sched::Task<> {
+    Mark mark{destroyed};
+    if (timed)
+      co_await loop.sched.sleep(5 * kMs);
+    else
+      co_await loop.sched.wait(signal);
+    ++finished;
+  };
+  auto all = [&]() -> sched::Task<> {
+    {
+      auto a = waits(true), b = waits(false), c = waits(false);
+      a.start(), b.start(), c.start();
+      signal.notify(); // b and c are ready to go on when they are ended
+    }
+    assert(destroyed == 3);
+    signal.notify();
+    co_await loop.sched.sleep(20 * kMs);
+  };
+  loop.run(all());
+  assert(finished == 0);
+}
+
+static void throwsEndOneCoroutineAlone() {
+  Loop loop;
+  std::string told;
+  loop.sched.onThrow = [&](const char *what) { told += what; };
+  auto inner = [&]() -> sched::Task<int> {
+    co_await loop.sched.sleep(0);
+    throw std::runtime_error("broken");
+  };
+  auto outer = [&]() -> sched::Task<> { co_await inner(); };
+  auto all = [&]() -> sched::Task<> {
+    loop.sched.spawn(outer());
+    co_await loop.sched.sleep(5 * kMs);
+  };
+  loop.run(all());
+  assert(told == "broken");
+}
+
+// What has arrived while the process stood still is read, not timed out.
+static void readsBeforeTimingOut() {
+  Loop loop;
+  auto [near, far] = loop.pair();
+  auto all = [&]() -> sched::Task<> {
+    auto stall = [&]() -> sched::Task<> {
+      assert(write(far->fd(), "x", 1) == 1);
+      usleep(30'000);
+      co_return;
+    };
+    loop.sched.spawn(stall());
+    net::Buffer buffer;
+    const net::Until until{loop.sched.now() + 10 * kMs, nullptr};
+    assert(co_await near->read(buffer, until) == net::Cause::none);
+    assert(buffer.view() == "x");
+  };
+  loop.run(all());
+}
+
+static void buffersGrowAndCompact() {
+  net::Buffer b;
+  const auto put = [&](std::string_view text) {
+    const auto room = b.room(text.size());
+    std::memcpy(room.data(), text.data(), text.size());
+    b.filled(text.size());
+  };
+  put("abcd");
+  b.consume(2);
+  put("efghij");
+  assert(b.view() == "cdefghij");
+  const auto *at = b.view().data();
+  b.consume(6);
+  put("klmn"); // goes to the front instead of growing
+  assert(b.view() == "ijklmn" && b.view().data() <= at);
+  b.consume(6);
+  assert(b.empty());
+}
+
+// A peer that reads nothing bounds what is written to it.
+static void writesEndInTime() {
+  Loop loop;
+  auto [near, far] = loop.pair();
+  auto all = [&]() -> sched::Task<> {
+    const std::string much(8 << 20, 'x');
+    const net::Until until{loop.sched.now() + 20 * kMs, nullptr};
+    assert(co_await near->write(much, until) == net::Cause::timedOut);
+    assert(near->written() > 0 && near->written() < much.size());
+    far.reset();
+    const net::Until later{loop.sched.now() + kSec, nullptr};
+    assert(co_await near->write(much, later) == net::Cause::broken);
+  };
+  loop.run(all());
+}
+
+int main() {
+  runsInOrder();
+  signalsWakeAllThatWait();
+  stopsLast();
+  endsWhatWaits();
+  throwsEndOneCoroutineAlone();
+  readsBeforeTimingOut();
+  buffersGrowAndCompact();
+  writesEndInTime();
+}
--- /dev/null
+++ b/tests/tries_test.cpp
@@ -0,0 +1,231 @@
+// Upstream tries: what each point at which a connection can break proves, and when a connection is used
+// again.
+#include "helpers.h"
+
+#include <cmath>
+
+using namespace myrtlehead;
+
+static const std::string kSql = "SELECT v FROM records WHERE k = '7f' /* id=1,c=read,d=480 */";
+
+// A pool before one stand-in node.
+struct Ground {
+  explicit Ground(StandIn::Script script)
+      : node(loop, std::move(script)),
+        pool(loop.sched, loop.budget, 100 * kMs, 30 * kSec, {"util", "queue"}) {
+    target.address = node.address();
+    target.listed = true;
+  }
+  sched::Task<nodes::Tried> ask(Ns within = kSec, sched::Stop *stop = nullptr, bool meant = true) {
+    const auto statement = pg::parseStatement(kSql);
+    const net::Until until{loop.sched.now() + within, stop};
+    co_return co_await pool.attempt(target, statement, until, [meant] { return meant; });
+  }
+  // The outcome of a single try.
+  Outcome outcome(Ns within = kSec) {
+    Outcome out{};
+    auto body = [&]() -> sched::Task<> { out = (co_await ask(within)).outcome; };
+    loop.run(body());
+    return out;
+  }
+  Loop loop;
+  StandIn node;
+  nodes::Pool pool;
+  Target target;
+};
+
+// Admits, reads a query and writes `answer`; then closes, or stays.
+static StandIn::Script answers(std::string answer, bool stays = true) {
+  return [=](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    if (!co_await StandIn::admit(s, b)) co_return;
+    while (!(co_await StandIn::query(s, b)).empty()) {
+      co_await s.write(answer, {});
+      if (!stays) co_return;
+    }
+  };
+}
+
+static std::string refusal(std::string_view code) {
+  std::string out;
+  pg::addError(out, {"ERROR", code, "no"});
+  pg::addReady(out);
+  return out;
+}
+
+static void brokenBeforeTheReqIsWritten() {
+  Ground refused(answers(""));
+  refused.target.address = "127.0.0.1:1";
+  assert(refused.outcome() == Outcome::unreachable);
+  Ground unreadable(answers(""));
+  unreadable.target.address = "nowhere";
+  assert(unreadable.outcome() == Outcome::unreachable);
+  Ground closes([](net::Socket &, net::Buffer &) -> sched::Task<> { co_return; });
+  assert(closes.outcome() == Outcome::unreachable);
+  auto mute = [](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    while (co_await s.read(b, {}) == net::Cause::none) {}
+  };
+  Ground silent(mute);
+  assert(silent.outcome() == Outcome::unreachable); // at the connecting's limit, not the try's
+  auto full = [](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await s.read(b, {});
+    const auto no = refusal("53300");
+    co_await s.write(no, {});
+  };
+  Ground turned(full);
+  assert(turned.outcome() == Outcome::turnedAway);
+}
+
+static void brokenAfterwards() {
+  Ground closes(answers("", false));
+  assert(closes.outcome() == Outcome::reset);
+  const auto row = StandIn::row("value");
+  for (std::size_t n = 1; n + 10 < row.size(); n += 7) { // in the middle of the answer
+    Ground cut(answers(row.substr(0, n), false));
+    assert(cut.outcome() == Outcome::reset);
+  }
+  Ground garbage(answers("HTTP/1.1 200 OK\r\n\r\n"));
+  assert(garbage.outcome() == Outcome::reset);
+  Ground silent(answers(""));
+  assert(silent.outcome(50 * kMs) == Outcome::timedOut);
+  Ground errs(answers(refusal("XX000")));
+  assert(errs.outcome() == Outcome::errored);
+  Ground full(answers(refusal("53300")));
+  assert(full.outcome() == Outcome::turnedAway);
+}
+
+static void anAnswerIsPassedOnWhole() {
+  Ground g(answers(StandIn::row("value", "queue=3,util=0.5")));
+  auto body = [&]() -> sched::Task<> {
+    const auto tried = co_await g.ask();
+    assert(tried.outcome == Outcome::completed);
+    assert(tried.loads.size() == 2 && tried.loads[0] == 0.5f && tried.loads[1] == 3.f);
+    auto whole = StandIn::row("value");
+    whole.resize(whole.size() - 6); // ReadyForQuery is ours to say
+    assert(tried.answer == whole);
+    const auto again = co_await g.ask();
+    assert(again.outcome == Outcome::completed && g.node.accepted == 1);
+  };
+  g.loop.run(body());
+}
+
+static void theStatementGoesOnWithOurPatience() {
+  std::vector<std::string> seen;
+  auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await StandIn::admit(s, b);
+    seen.push_back(co_await StandIn::query(s, b));
+  };
+  Ground g(script);
+  assert(g.outcome(200 * kMs) == Outcome::reset && seen.size() == 1);
+  const auto passed = pg::parseStatement(seen[0]);
+  assert(passed.patienceMs > 100 && passed.patienceMs <= 200);
+  assert(pg::withPatience(passed, 480) == kSql);
+}
+
+static void onlyCleanConnectionsAreUsedAgain() {
+  const auto row = StandIn::row("value");
+  Ground leftOver(answers(row + "Z"));
+  Ground late(answers(row.substr(0, row.size() - 6))); // ReadyForQuery never comes
+  Ground closed(answers(row, false));
+  for (auto *g : {&leftOver, &late, &closed}) {
+    auto body = [&]() -> sched::Task<> {
+      assert((co_await g->ask()).outcome == Outcome::completed);
+      co_await g->loop.sched.sleep(5 * kMs);
+      assert((co_await g->ask()).outcome == Outcome::completed);
+      assert(g->node.accepted == 2);
+    };
+    g->loop.run(body());
+  }
+  Ground relisted(answers(row));
+  auto body = [&]() -> sched::Task<> {
+    assert((co_await relisted.ask()).outcome == Outcome::completed);
+    ++relisted.target.changes; // another build under the same name
+    assert((co_await relisted.ask()).outcome == Outcome::completed && relisted.node.accepted == 2);
+  };
+  relisted.loop.run(body());
+}
+
+// A ReadyForQuery that comes after the rest of the answer is waited for on the idle connection.
+static void aLateReadyIsRead() {
+  const auto row = StandIn::row("value");
+  auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await StandIn::admit(s, b);
+    while (!(co_await StandIn::query(s, b)).empty()) {
+      const auto first = row.substr(0, row.size() - 6), rest = row.substr(row.size() - 6);
+      co_await s.write(first, {});
+      co_await s.write(rest, {});
+    }
+  };
+  Ground g(script);
+  auto body = [&]() -> sched::Task<> {
+    assert((co_await g.ask()).outcome == Outcome::completed);
+    co_await g.loop.sched.sleep(5 * kMs);
+    assert((co_await g.ask()).outcome == Outcome::completed && g.node.accepted == 1);
+  };
+  g.loop.run(body());
+}
+
+// The node's place in list or news has changed while the connection came up.
+static void aNodeChangedDuringConnectGetsNothing() {
+  std::vector<std::string> seen;
+  auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await StandIn::admit(s, b);
+    seen.push_back(co_await StandIn::query(s, b));
+  };
+  Ground g(script);
+  auto body = [&]() -> sched::Task<> {
+    assert((co_await g.ask(kSec, nullptr, false)).outcome == Outcome::notSent);
+    co_await g.loop.sched.sleep(20 * kMs);
+    assert(seen.empty());
+  };
+  g.loop.run(body());
+}
+
+static void aTryThatIsCalledOffClosesItsConnection() {
+  Ground g(answers(""));
+  sched::Stop stop;
+  auto later = [&]() -> sched::Task<> {
+    co_await g.loop.sched.sleep(20 * kMs);
+    stop.request();
+  };
+  auto body = [&]() -> sched::Task<> {
+    g.loop.sched.spawn(later());
+    assert((co_await g.ask(kSec, &stop)).outcome == Outcome::cancelled);
+    co_await g.loop.sched.sleep(20 * kMs);
+    assert(g.node.ended == 1); // the node has seen its end
+  };
+  g.loop.run(body());
+}
+
+static void whatAFailureProves() {
+  using net::Cause, net::Reach;
+  assert(nodes::outcomeOf({Cause::timedOut, Reach::unconnected}) == Outcome::unreachable);
+  assert(nodes::outcomeOf({Cause::broken, Reach::partlyWritten}) == Outcome::unreachable);
+  assert(nodes::outcomeOf({Cause::stopped, Reach::partlyWritten}) == Outcome::notSent);
+  assert(nodes::outcomeOf({Cause::ended, Reach::writtenWhole}) == Outcome::reset);
+  assert(nodes::outcomeOf({Cause::timedOut, Reach::answering}) == Outcome::timedOut);
+  assert(nodes::outcomeOf({Cause::stopped, Reach::answering}) == Outcome::cancelled);
+}
+
+static void theOldestIdleConnectionGoesFirst() {
+  Ground g(answers(StandIn::row("value")));
+  auto body = [&]() -> sched::Task<> {
+    assert(!g.pool.closeOldestIdle());
+    assert((co_await g.ask()).outcome == Outcome::completed);
+    const int left = g.loop.budget.left();
+    assert(g.pool.closeOldestIdle() && g.loop.budget.left() == left + 1);
+  };
+  g.loop.run(body());
+}
+
+int main() {
+  brokenBeforeTheReqIsWritten();
+  brokenAfterwards();
+  anAnswerIsPassedOnWhole();
+  theStatementGoesOnWithOurPatience();
+  onlyCleanConnectionsAreUsedAgain();
+  aLateReadyIsRead();
+  aNodeChangedDuringConnectGetsNothing();
+  aTryThatIsCalledOffClosesItsConnection();
+  whatAFailureProves();
+  theOldestIdleConnectionGoesFirst();
+}
