--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -1,5 +1,7 @@
 #include "clients/session.h"
 
+#include "guard/log.h"
+
 #include <algorithm>
 
 namespace myrtlehead::clients {
@@ -186,6 +188,7 @@
     auto *target = choice.target;
     auto tried = co_await door_.pool_.attempt(*target, statement, until,
                                               [&] { return marshal.stillMeant(call); });
+    door_.log_.debug("try at ", target->name, ": ", word(tried.outcome), ", load fields ", tried.loads.size());
     if (!tried.loads.empty()) marshal.load(*target, tried.loads);
     if (gone_.requested()) marshal.left(call);
     choice = marshal.report(call, tried.outcome);
--- a/src/guard/log.h
+++ b/src/guard/log.h
@@ -17,6 +17,17 @@
   return kWords[static_cast<int>(p)];
 }
 
+inline const char *word(Outcome o) {
+  constexpr const char *kWords[] = {"completed",   "errored", "turned away", "timed out",
+                                    "unreachable", "reset",   "cancelled",   "not sent"};
+  return kWords[static_cast<int>(o)];
+}
+
+inline const char *word(Reply r) {
+  constexpr const char *kWords[] = {"ok", "moot", "full", "error", "no answer"};
+  return kWords[static_cast<int>(r)];
+}
+
 template <class... A> std::string line(const char *format, A... a) {
   char text[160];
   std::snprintf(text, sizeof text, format, a...);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -61,7 +61,7 @@
   catalog::Watch watch(sched, budget, marshal, log, station.discovery, station.zones,
                        unixAtZero(sched.now()));
   platform::Desk desk(sched, budget, marshal, log, station.platform, station.routes, station.callWithin);
-  nodes::Pool pool(sched, budget, station.connectWithin, station.idleAtMost, station.loadNames);
+  nodes::Pool pool(sched, budget, log, station.connectWithin, station.idleAtMost, station.loadNames);
   net::Socket signals(sched, budget, signalDescriptor());
   std::unique_ptr<peers::Datagrams> datagrams;
   if (station.deployment.peers)
--- a/src/nodes/pool.cpp
+++ b/src/nodes/pool.cpp
@@ -134,9 +134,7 @@
     const auto failure = co_await nextMessage(*c.socket, c.buffer, until, Reach::writtenWhole, m);
     if (failure.cause != Cause::none) co_return failure;
     if (m.type == 'S') {
-      std::string_view body = m.body, name, value;
-      if (pg::takeText(body, name) && pg::takeText(body, value) && name == "load")
-        out.loads = readLoads(value, loadNames_);
+      readParameter(m.body, out);
     } else if (m.type == 'T' || m.type == 'D' || m.type == 'C') {
       out.answer += c.buffer.view().substr(0, m.size);
       over = m.type == 'C';
@@ -149,20 +147,37 @@
     }
     c.buffer.consume(m.size);
   }
+  // The load report stands between the answer and ReadyForQuery. What has not come along is read later.
   c.settled = false;
+  settle(c, &out);
   co_return Failure{};
 }
 
-// Open, and nothing there but the ReadyForQuery that was due.
-bool Pool::usable(Connection &c) {
-  if (!c.settled) {
-    pg::Message m;
-    if (c.buffer.empty() && c.socket->readNow(c.buffer) != Cause::none) return false;
-    if (pg::parseMessage(c.buffer.view(), m) != pg::Parsed::whole || m.type != 'Z') return false;
+void Pool::readParameter(std::string_view body, Tried &out) {
+  std::string_view name, value;
+  if (pg::takeText(body, name) && pg::takeText(body, value) && name == "load")
+    out.loads = readLoads(value, loadNames_);
+  const bool lacks = std::any_of(out.loads.begin(), out.loads.end(), [](float v) { return std::isnan(v); });
+  if (lacks && !std::exchange(lacking_, true))
+    log_.warning("load reports lack a field of the configuration: ", value);
+}
+
+// Takes what is held up to ReadyForQuery; false: something stands there that may not.
+bool Pool::settle(Connection &c, Tried *out) {
+  pg::Message m;
+  while (!c.settled && pg::parseMessage(c.buffer.view(), m) == pg::Parsed::whole) {
+    if (m.type == 'S' && out != nullptr) readParameter(m.body, *out);
+    if (m.type == 'Z') c.settled = true;
+    if (m.type != 'S' && m.type != 'N' && m.type != 'Z') return false;
     c.buffer.consume(m.size);
-    c.settled = true;
   }
-  return c.buffer.empty() && c.socket->quiet();
+  return true;
+}
+
+// Open, and nothing there but what was due.
+bool Pool::usable(Connection &c) {
+  if (!c.settled && c.socket->readNow(c.buffer) == Cause::none && !settle(c, nullptr)) return false;
+  return c.settled && c.buffer.empty() && c.socket->quiet();
 }
 
 Pool::Held Pool::take(const Target &target) {
--- a/src/nodes/pool.h
+++ b/src/nodes/pool.h
@@ -25,9 +25,9 @@
 
 class Pool {
 public:
-  Pool(net::Scheduler &sched, net::Descriptors &budget, Ns connectWithin, Ns idleAtMost,
+  Pool(net::Scheduler &sched, net::Descriptors &budget, log::Log &log, Ns connectWithin, Ns idleAtMost,
        std::vector<std::string> loadNames)
-      : sched_(sched), budget_(budget), connectWithin_(connectWithin), idleAtMost_(idleAtMost),
+      : sched_(sched), budget_(budget), log_(log), connectWithin_(connectWithin), idleAtMost_(idleAtMost),
         loadNames_(std::move(loadNames)) {}
 
   // `meant`: asked right before the statement is written to a new connection; false: it is not sent.
@@ -51,12 +51,16 @@
   net::Task<net::Failure> exchange(Connection &c, std::string query, net::Until until, Tried &out);
   Held take(const Target &target);
   void keep(const Target &target, Held c);
-  static bool usable(Connection &c);
+  bool usable(Connection &c);
+  bool settle(Connection &c, Tried *out);
+  void readParameter(std::string_view body, Tried &out);
 
   net::Scheduler &sched_;
   net::Descriptors &budget_;
+  log::Log &log_;
   Ns connectWithin_, idleAtMost_;
   std::vector<std::string> loadNames_;
+  bool lacking_ = false; // a report has lacked a field
   struct Place {
     const Target *target = nullptr;
     std::deque<Held> idle; // the latest used last
--- a/src/platform/desk.cpp
+++ b/src/platform/desk.cpp
@@ -1,5 +1,7 @@
 #include "platform/desk.h"
 
+#include "guard/log.h"
+
 #include <algorithm>
 
 namespace myrtlehead::platform {
@@ -13,8 +15,7 @@
   for (;;) {
     const auto vote = co_await marshal_.nextVote();
     const auto answer = co_await call(voteForm(vote));
-    log_.debug("vote on build ", vote.build, " stage ", vote.stage, ": reply ",
-               static_cast<int>(answer.reply));
+    log_.debug("vote ", word(vote.verdict), " on build ", vote.build, " stage ", vote.stage, ": ", word(answer.reply));
     if (answer.news) marshal_.news(*answer.news);
     marshal_.voteAnswered(answer.reply);
   }
@@ -27,6 +28,7 @@
   auto request = http::writeRequest("POST", "/", "platform", form);
   const auto asked = co_await exchange.ask(at_, std::move(request), until);
   if (asked.cause != net::Cause::none) {
+    log_.debug("call on the platform failed: ", net::word(asked.cause), ", reach ", static_cast<int>(asked.reach));
     const bool never = asked.reach == net::Reach::unconnected || asked.reach == net::Reach::partlyWritten;
     co_return Answer{never ? Reply::error : Reply::timedOut, {}};
   }
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -142,9 +142,9 @@
   }
   static std::string row(std::string_view value, std::string_view load = {}) {
     std::string out;
-    if (!load.empty()) pg::addMessage(out, 'S', "load" + std::string(1, '\0') + std::string(load) + '\0');
     pg::addRow(out, "v", value);
     pg::addComplete(out, "SELECT 1");
+    if (!load.empty()) pg::addMessage(out, 'S', "load" + std::string(1, '\0') + std::string(load) + '\0');
     pg::addReady(out);
     return out;
   }
