Keep a standing connection to the platform, so that votes get through while it stands still

Now a connection is held open (src/calls/line.cpp) and calls go back to back on it, answers known by their order. There the votes are written whole, may count, and are answered when the platform moves again.

--- /dev/null
+++ b/src/calls/line.h
@@ -0,0 +1,52 @@
+// A standing HTTP connection for calls that want one answer each. Calls are written back to back and their
+// answers come in that order, so a late answer is known for what it is. No call is repeated.
+#pragma once
+
+#include "http/http.h"
+#include "net/socket.h"
+
+#include <deque>
+
+namespace myrtlehead::calls {
+
+struct Answered {
+  int status = 0;
+  std::string body;
+};
+
+class Line {
+public:
+  Line(net::Scheduler &sched, net::Descriptors &budget, net::Address to)
+      : sched_(sched), budget_(budget), to_(to) {}
+
+  // Where it fails, `reach` says how far the call had come.
+  net::Task<net::Result<Answered>> call(std::string request, net::Until until);
+  // Keeps a connection open for as long as the marshal lives: one that is there when the other side stands
+  // still takes calls that a new one can't carry.
+  net::Task<> keepOpen();
+
+private:
+  struct Pending {
+    sched::Signal over;
+    bool ended = false;
+    net::Failure failure;
+    Answered answer;
+  };
+  struct Connection {
+    std::unique_ptr<net::Socket> socket;
+    std::deque<std::shared_ptr<Pending>> pending;
+    bool ended = false, overdue = false; // overdue: a call on it was given up unanswered
+  };
+  net::Task<net::Cause> open(net::Until until);
+  net::Task<> readAnswers(std::shared_ptr<Connection> c);
+  net::Task<net::Cause> readAnswer(Connection &c, net::Buffer &buffer, Answered &out);
+  bool isOpen() const { return connection_ != nullptr && !connection_->ended; }
+
+  net::Scheduler &sched_;
+  net::Descriptors &budget_;
+  net::Address to_;
+  std::shared_ptr<Connection> connection_;
+  sched::Signal closed_;
+};
+
+} // namespace myrtlehead::calls
--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -180,7 +180,8 @@
   auto &marshal = door_.marshal_;
   const Ns patience = std::min(statement.patienceMs * kMs,
                                door_.routeTimeouts_[static_cast<std::size_t>(route)]);
-  Call call(route, statement.key, patience, statement.repeat, door_.sched_.now());
+  const Ns taken = door_.sched_.now();
+  Call call(route, statement.key, patience, statement.repeat, taken);
   auto choice = co_await marshal.pick(call, gone_);
   std::string out;
   while (choice.what == Choice::send) {
@@ -188,7 +189,8 @@
     auto *target = choice.target;
     auto tried = co_await door_.pool_.attempt(*target, statement, until,
                                               [&] { return marshal.stillMeant(call); });
-    door_.log_.debug("try at ", target->name, ": ", word(tried.outcome), ", load fields ", tried.loads.size());
+    door_.log_.debug("try at ", target->name, ": ", word(tried.outcome), ", load fields ",
+                     tried.loads.size());
     if (!tried.loads.empty()) marshal.load(*target, tried.loads);
     if (gone_.requested()) marshal.left(call);
     choice = marshal.report(call, tried.outcome);
@@ -198,6 +200,9 @@
     marshal.left(call);
     co_return false;
   }
+  if (choice.what != Choice::nothing)
+    door_.log_.debug(choice.what == Choice::shed ? "shed" : "errored", " a req of route ", route, " after ",
+                     (door_.sched_.now() - taken) / kMs, " ms");
   if (choice.what == Choice::shed) {
     const auto pause = choice.retryAfter > 0 ? std::to_string(choice.retryAfter / kMs) : "";
     pg::addError(out, {"ERROR", "53300", "too busy; trying again is harmless", pause});
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -78,6 +78,7 @@
                      station.routeTimeouts);
   sched.spawn(marshal.tick());
   sched.spawn(watch.run());
+  sched.spawn(desk.keepOpen());
   sched.spawn(desk.sendVotes());
   sched.spawn(desk.readBulletin());
   sched.spawn(pool.sweep());
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -89,6 +89,8 @@
   if (hungUp_ && stop != nullptr) stop->request();
 }
 
+void Socket::shutDown() { shutdown(fd_, SHUT_RDWR); }
+
 Cause Socket::readNow(Buffer &into) {
   const auto room = into.room(kReadSize);
   const auto n = recv(fd_, room.data(), room.size(), 0);
--- a/src/platform/desk.cpp
+++ b/src/platform/desk.cpp
@@ -15,27 +15,23 @@
   for (;;) {
     const auto vote = co_await marshal_.nextVote();
     const auto answer = co_await call(voteForm(vote));
-    log_.debug("vote ", word(vote.verdict), " on build ", vote.build, " stage ", vote.stage, ": ", word(answer.reply));
+    log_.debug("vote ", word(vote.verdict), " on build ", vote.build, " stage ", vote.stage, ": ",
+               word(answer.reply));
     if (answer.news) marshal_.news(*answer.news);
     marshal_.voteAnswered(answer.reply);
   }
 }
 
-// A connection for each call: a late answer can't be taken for the next call's.
 net::Task<Answer> Desk::call(std::string form) {
-  calls::Exchange exchange(sched_, budget_);
   const net::Until until{sched_.now() + callWithin_, nullptr};
   auto request = http::writeRequest("POST", "/", "platform", form);
-  const auto asked = co_await exchange.ask(at_, std::move(request), until);
-  if (asked.cause != net::Cause::none) {
-    log_.debug("call on the platform failed: ", net::word(asked.cause), ", reach ", static_cast<int>(asked.reach));
-    const bool never = asked.reach == net::Reach::unconnected || asked.reach == net::Reach::partlyWritten;
-    co_return Answer{never ? Reply::error : Reply::timedOut, {}};
-  }
-  auto cause = net::Cause::none;
-  while (cause == net::Cause::none) cause = co_await exchange.more(until);
-  if (cause != net::Cause::ended) co_return Answer{};
-  co_return readAnswer(exchange.head().status, exchange.body);
+  auto answered = co_await line_.call(std::move(request), until);
+  if (answered) co_return readAnswer(answered->status, answered->body);
+  const auto &failure = answered.failure();
+  log_.debug("call on the platform failed: ", net::word(failure.cause), ", reach ",
+             static_cast<int>(failure.reach));
+  const bool never = failure.reach == net::Reach::unconnected || failure.reach == net::Reach::partlyWritten;
+  co_return Answer{never ? Reply::error : Reply::timedOut, {}};
 }
 
 net::Task<> Desk::readBulletin() {
--- a/src/platform/desk.h
+++ b/src/platform/desk.h
@@ -1,7 +1,8 @@
-// Calls on the platform: votes, each on a connection of its own, and the bulletin.
+// Calls on the platform: votes, on a standing connection, and the bulletin.
 #pragma once
 
 #include "calls/exchange.h"
+#include "calls/line.h"
 #include "marshal/marshal.h"
 #include "platform/words.h"
 
@@ -12,10 +13,11 @@
   Desk(net::Scheduler &sched, net::Descriptors &budget, Marshal &marshal, log::Log &log, net::Address at,
        std::vector<std::string> routes, Ns callWithin)
       : sched_(sched), budget_(budget), marshal_(marshal), log_(log), at_(at), routes_(std::move(routes)),
-        callWithin_(callWithin) {}
+        line_(sched, budget, at), callWithin_(callWithin) {}
 
   net::Task<> sendVotes();
   net::Task<> readBulletin();
+  net::Task<> keepOpen() { return line_.keepOpen(); }
   net::Task<Answer> call(std::string form);
 
 private:
@@ -27,6 +29,7 @@
   log::Log &log_;
   net::Address at_;
   std::vector<std::string> routes_;
+  calls::Line line_;
   Ns callWithin_;
 };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -156,23 +156,80 @@
       co_await s.write(answer, {});
     };
   };
-  const auto whole = [](const char *status, const std::string &body) {
+  const auto answer = [](const char *status, const std::string &body) {
     return std::string("HTTP/1.1 ") + status + "\r\nContent-Length: " + std::to_string(body.size()) +
            "\r\n\r\n" + body;
   };
-  assert(replyTo(says(whole("200 OK", kNews))) == Reply::ok);
-  assert(replyTo(says(whole("400 Bad", "<Error><Code>BUSY</Code></Error>"))) == Reply::full);
-  assert(replyTo(says(whole("400 Bad", "<Error><Code>STALE</Code></Error>"))) == Reply::moot);
-  assert(replyTo(says(whole("500 Bad", "<Error><Code>FAILED</Code></Error>"))) == Reply::error);
-  assert(replyTo(says(whole("200 OK", kNews).substr(0, 90))) == Reply::timedOut); // it may have counted
+  assert(replyTo(says(answer("200 OK", kNews))) == Reply::ok);
+  assert(replyTo(says(answer("400 Bad", "<Error><Code>BUSY</Code></Error>"))) == Reply::full);
+  assert(replyTo(says(answer("400 Bad", "<Error><Code>STALE</Code></Error>"))) == Reply::moot);
+  assert(replyTo(says(answer("500 Bad", "<Error><Code>FAILED</Code></Error>"))) == Reply::error);
+  assert(replyTo(says(answer("200 OK", kNews).substr(0, 90))) == Reply::timedOut); // it may have counted
   assert(replyTo(says("")) == Reply::timedOut);
-  assert(replyTo(says(whole("200 OK", "<odd"))) == Reply::timedOut);
+  assert(replyTo(says(answer("200 OK", "<odd"))) == Reply::timedOut);
   assert(replyTo([](net::Socket &s, net::Buffer &b) -> sched::Task<> {
            while (co_await s.read(b, {}) == net::Cause::none) {}
-         }) == Reply::timedOut);                    // no answer in the call's time
+         }) == Reply::timedOut);                            // no answer in the call's time
   assert(replyTo(says(""), "127.0.0.1:1") == Reply::error); // never connected
 }
 
+static std::string whole(const std::string &body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A platform that stands still and then answers all at once: a late answer is not the next call's.
+static void aLateAnswerIsNotTheNextCalls() {
+  auto script = [](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await requestLine(s, b);
+    const auto late = whole("late"), second = whole("second");
+    while (b.view().find("POST /2") == std::string_view::npos) co_await s.read(b, {});
+    co_await s.write(late, {});
+    co_await s.write(second, {});
+    co_await s.read(b, {});
+  };
+  Calls c(script);
+  calls::Line line(c.loop.sched, c.loop.budget, *net::parseAddress(c.server.address()));
+  auto body = [&]() -> sched::Task<> {
+    const net::Until soon{c.loop.sched.now() + 50 * kMs, nullptr};
+    auto request = http::writeRequest("POST", "/1", "platform");
+    const auto first = co_await line.call(request, soon);
+    assert(!first && first.failure().cause == net::Cause::timedOut);
+    assert(first.failure().reach == net::Reach::writtenWhole);
+    c.server.listener->shutDown(); // a new connection does not come up: the old one carries the call
+    const net::Until later{c.loop.sched.now() + kSec, nullptr};
+    request = http::writeRequest("POST", "/2", "platform");
+    auto answered = co_await line.call(request, later);
+    assert(answered);
+    assert(answered->body == "second" && c.server.accepted == 1);
+  };
+  c.loop.run(body());
+}
+
+// An idle closing is survived: the standing connection is opened again, and a call on it is written once.
+static void theStandingConnectionIsKeptOpen() {
+  std::vector<std::string> asked;
+  auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    if (asked.empty())
+      asked.push_back("closed"); // the first connection ends at once
+    else
+      asked.push_back(co_await requestLine(s, b));
+    const auto answer = whole("x");
+    if (asked.size() > 1) co_await s.write(answer, {});
+  };
+  Calls c(script);
+  calls::Line line(c.loop.sched, c.loop.budget, *net::parseAddress(c.server.address()));
+  auto body = [&]() -> sched::Task<> {
+    c.loop.sched.spawn(line.keepOpen());
+    while (c.server.accepted < 2) co_await c.loop.sched.sleep(kMs);
+    const net::Until until{c.loop.sched.now() + kSec, nullptr};
+    const auto request = http::writeRequest("POST", "/1", "platform");
+    auto answered = co_await line.call(request, until);
+    assert(answered);
+    assert(answered->status == 200 && asked.size() == 2 && asked[1] == "POST /1");
+  };
+  c.loop.run(body());
+}
+
 static void theBulletinIsReadAndOpenedAgain() {
   auto script = [](net::Socket &s, net::Buffer &b) -> sched::Task<> {
     assert(co_await requestLine(s, b) == "GET /bulletin");
@@ -284,6 +341,8 @@
   aHeldReqGoesOutOnceANodeIsListed();
   theWatchIsFollowedAndAskedForAgain();
   aVoteIsAnsweredOrMayCount();
+  aLateAnswerIsNotTheNextCalls();
+  theStandingConnectionIsKeptOpen();
   theBulletinIsReadAndOpenedAgain();
   datagramsFromElsewhereAreIgnored();
   theConfigurationIsDecodedOnce();
