--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -61,7 +61,7 @@
                  kMedianStep = 0.02; // most that tries' time says, as a part of their objectives
 constexpr double kTypical = 2.5; // times the median that the mean may be, before it is a few tries' trouble
 constexpr double kFlowMemory = 0.5; // seconds over which tries out and outcomes are averaged
-constexpr double kShedFrom = 0.5, kShedNow = 0.5, kShedGain = 0.4, kShedEase = 2.5; // now, a second, eased
+constexpr double kShedFrom = 0.5, kShedNow = 0.5, kShedGain = 0.4; // for each unit above: at once, a second
 constexpr double kShedMost = 0.95, kBaseMost = 0.7; // some are let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
 constexpr double kShedRepeat = 0.5, kShedSay = 0.05; // on the exponent, for a repeat; share that is logged
@@ -382,8 +382,7 @@
   const double time = s.meanOut / std::max(s.flow, 1.0);
   s.lateness = s.objective > 0 ? std::min({time / s.objective, kTypical * s.typical, kLatest}) : 0;
   const double excess = s.lateness - kShedFrom;
-  const double gain = s.lateness < kRoom ? kShedEase : kShedGain; // the trouble is over: shed no seconds more
-  s.shedBase = std::clamp(s.shedBase + gain * excess * beat, 0.0, kBaseMost);
+  s.shedBase = std::clamp(s.shedBase + kShedGain * excess * beat, 0.0, kBaseMost);
   s.shed = std::clamp(s.shedBase + kShedNow * excess, 0.0, kShedMost);
   if (s.shedding ? s.shed > 0 : s.shed < kShedSay) return;
   s.shedding = !s.shedding;
