Refuse at once what there is no descriptor for, so that no req waits in the backlog

With all clients' reqs in hand door.cpp left new connections in the backlog, where their reqs wait beyond the clients' patience. Ruled out: closings that cross a req (0 sent again by clients) and a machine limit (no EMFILE line). Also: sessions and datagrams that never run dry let others have their turn.

--- a/src/catalog/watch.h
+++ b/src/catalog/watch.h
@@ -27,7 +27,6 @@
   std::vector<std::string> zones_;
   Ns unixAtZero_;
   std::uint64_t index_ = 0, turn_ = 0;
-  bool following_ = false;
 };
 
 } // namespace myrtlehead::catalog
--- a/src/clients/door.cpp
+++ b/src/clients/door.cpp
@@ -9,12 +9,13 @@
 namespace {
 
 constexpr int kKept = 4;               // one descriptor in so many stays with nodes and control connections
+constexpr int kLast = 12;              // and one in so many is not even spent on refusing clients
 constexpr Ns kStillOpen = kSec / 2;    // after the wish to end: a front may send on for a while
 constexpr Ns kRetryAccept = kSec / 10; // where the machine has no descriptor left
 
-net::Task<> session(Door &door, std::unique_ptr<net::Socket> socket, std::uint32_t number) {
+net::Task<> session(Door &door, std::unique_ptr<net::Socket> socket, std::uint32_t number, bool stays) {
   Session session(door, std::move(socket), number);
-  co_await session.run();
+  co_await session.run(stays);
 }
 
 } // namespace
@@ -26,8 +27,9 @@
       routeTimeouts_(std::move(routeTimeouts)), places_(std::max(places, 4 * pg::kMostBytes)),
       listener_(net::listenAt(sched, budget, listen)) {}
 
-// Guards the descriptors that nodes and control connections need: the longest idle client goes first.
-bool Door::makeRoom() {
+// Guards the descriptors that nodes and control connections need: the longest idle client goes for a new one.
+// Where none is idle the new one is refused at once: in the backlog its req would wait for nobody.
+bool Door::mayStay() {
   const bool enough = budget_.left() > budget_.most() / kKept;
   if (short_ ? budget_.left() > budget_.most() / (kKept - 1) : !enough) {
     short_ = !short_;
@@ -35,20 +37,22 @@
               budget_.left(), " left of ", budget_.most());
   }
   if (enough) return true;
-  if (!idle_.empty()) idle_.front()->stopIdling();
-  return false;
+  if (idle_.empty()) return false;
+  idle_.front()->stopIdling();
+  return true;
 }
 
 net::Task<> Door::accept() {
   while (!noMore_.requested()) {
-    if (!makeRoom()) {
+    if (budget_.left() <= budget_.most() / kLast) {
       const net::Until soon{sched_.now() + kRetryAccept, &noMore_};
       co_await sched_.wait(budget_.freed, soon);
       continue;
     }
     auto accepted = net::acceptNow(sched_, budget_, *listener_);
     if (accepted) {
-      sched_.spawn(session(*this, std::move(*accepted), ++sessions_));
+      const bool stays = mayStay();
+      sched_.spawn(session(*this, std::move(*accepted), ++sessions_, stays));
     } else if (accepted.failure().cause == Cause::timedOut) {
       const net::Until until{sched::kNever, &noMore_};
       co_await listener_->readable(until);
--- a/src/clients/door.h
+++ b/src/clients/door.h
@@ -21,7 +21,7 @@
 
 private:
   friend class Session;
-  bool makeRoom();
+  bool mayStay(); // whether a connection just accepted may
   net::Scheduler &sched_;
   net::Descriptors &budget_;
   Marshal &marshal_;
--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t kSmall = 16 * 1024; // a message that needs no place of its own, a buffer that is kept
 constexpr Ns kReadWithin = 10 * kSec;     // for the rest of a message that has begun, and to read an answer
 
+constexpr Ns kPartWithin = kSec; // for a client to see that it is parted with
+constexpr unsigned kTurn = 32;   // messages, then other sessions have theirs
+
 } // namespace
 
 Session::Session(Door &door, std::unique_ptr<net::Socket> socket, std::uint32_t number)
@@ -50,10 +53,32 @@
   co_return co_await say(out);
 }
 
-net::Task<> Session::run() {
-  if (!co_await startUp()) co_return;
+void Session::stopIdling() {
+  idle(false); // it is not asked twice
+  enough_.request();
+}
+
+// Guards what was said last: closed with bytes unread, a connection is reset, and the client may not see it.
+net::Task<> Session::partWith() {
+  const net::Until until{door_.sched_.now() + kPartWithin, nullptr};
+  socket_->endWriting();
+  for (auto cause = Cause::none; cause == Cause::none;) {
+    buffer_.consume(buffer_.view().size());
+    cause = co_await socket_->read(buffer_, until);
+  }
+}
+
+net::Task<> Session::run(bool stays) {
+  const bool started = co_await startUp(stays ? kStartWithin : kPartWithin);
+  if (!started) co_return;
+  if (!stays) {
+    co_await complain({"FATAL", "53300", "too many connections; trying again is harmless"}, false);
+    co_await partWith();
+    co_return;
+  }
   pg::Message message;
-  while (co_await nextMessage(message)) {
+  for (unsigned n = 1; co_await nextMessage(message); ++n) {
+    if (n % kTurn == 0) co_await door_.sched_.sleep(0);
     const auto size = message.size;
     if (!co_await answer(message)) break;
     buffer_.consume(size);
@@ -62,18 +87,21 @@
   }
 }
 
-net::Task<bool> Session::startUp() {
-  const net::Until until{door_.sched_.now() + kStartWithin, &enough_};
+net::Task<bool> Session::startUp(Ns within) {
+  const net::Until until{door_.sched_.now() + within, &enough_};
   for (;;) {
     pg::Startup startup;
     const auto parsed = pg::parseStartup(buffer_.view(), startup);
     if (parsed == pg::Parsed::more) {
-      if (co_await socket_->read(buffer_, until) != Cause::none) co_return false;
+      auto cause = co_await socket_->read(buffer_, until);
+      if (cause == Cause::stopped) cause = socket_->readNow(buffer_);
+      if (cause != Cause::none) co_return false;
       continue;
     }
     if (parsed == pg::Parsed::bad || startup.kind == pg::Opening::unknown) {
       door_.log_.warning("a client's startup message can't be read");
       co_await complain({"FATAL", "08P01", "the startup message is not protocol 3"}, false);
+      co_await partWith();
       co_return false;
     }
     if (startup.kind == pg::Opening::cancel) co_return false; // there is nothing to cancel by its key
@@ -98,6 +126,7 @@
     if (parsed == pg::Parsed::bad) {
       door_.log_.warning("a client's message has an impossible length");
       co_await complain({"FATAL", "08P01", "a message with an impossible length"}, false);
+      co_await partWith();
       co_return false;
     }
     const bool between = buffer_.empty();
@@ -147,6 +176,7 @@
     if (pg::takeText(body, sql) && body.empty()) co_return co_await query(sql);
     door_.log_.warning("a client's query does not end as it should");
     co_await complain({"FATAL", "08P01", "a query without its closing zero"}, false);
+    co_await partWith();
     co_return false;
   }
   case 'S': {
@@ -164,6 +194,7 @@
   }
   door_.log_.warning("a client sent a message of unknown type ", static_cast<int>(message.type));
   co_await complain({"FATAL", "08P01", "a message of unknown type"}, false);
+  co_await partWith();
   co_return false;
 }
 
--- a/src/clients/session.h
+++ b/src/clients/session.h
@@ -14,11 +14,12 @@
   Session(const Session &) = delete;
   Session &operator=(const Session &) = delete;
 
-  net::Task<> run();
-  void stopIdling() { enough_.request(); } // it may be closed now, being between reqs
+  net::Task<> run(bool stays); // if not, it is refused: there is no descriptor to spare
+  void stopIdling();           // it may be closed now, being between reqs
 
 private:
-  net::Task<bool> startUp();
+  net::Task<bool> startUp(Ns within);
+  net::Task<> partWith();
   net::Task<bool> nextMessage(pg::Message &out);
   net::Task<bool> takePlace(Ns latest);
   void leavePlace();
--- a/src/net/result.h
+++ b/src/net/result.h
@@ -6,26 +6,14 @@
 
 namespace myrtlehead::net {
 
-enum class Cause {
-  none,
-  timedOut,
-  stopped,
-  ended,
-  broken,
-  refused,
-  tooBig,
-  unreadable,
-  noDescriptor,
-  withdrawn
-};
+enum class Cause { none, timedOut, stopped, ended, broken, refused, tooBig, unreadable, noDescriptor };
 
 // How far an attempt had come when it failed.
 enum class Reach { unconnected, partlyWritten, writtenWhole, answering };
 
 inline const char *word(Cause c) {
-  constexpr const char *kWords[] = {
-      "none",    "timed out", "stopped",    "ended by the other side", "broken",
-      "refused", "too big",   "unreadable", "no descriptor left",      "withdrawn"};
+  constexpr const char *kWords[] = {"none",    "timed out", "stopped",    "ended by the other side", "broken",
+                                    "refused", "too big",   "unreadable", "no descriptor left"};
   return kWords[static_cast<int>(c)];
 }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -89,6 +89,8 @@
   if (hungUp_ && stop != nullptr) stop->request();
 }
 
+void Socket::endWriting() { shutdown(fd_, SHUT_WR); }
+
 void Socket::shutDown() { shutdown(fd_, SHUT_RDWR); }
 
 Cause Socket::readNow(Buffer &into) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -42,6 +42,7 @@
   Cause readNow(Buffer &into); // timedOut: nothing there
   bool quiet() const;          // open, with nothing to read
   void onHangUp(sched::Stop *stop);
+  void endWriting();
   void shutDown(); // whoever reads or writes here sees its end
   int fd() const { return fd_; }
   std::size_t written() const { return written_; } // bytes in all
--- a/src/nodes/pool.cpp
+++ b/src/nodes/pool.cpp
@@ -33,7 +33,7 @@
 
 Outcome outcomeOf(const Failure &failure) {
   const bool written = failure.reach == Reach::writtenWhole || failure.reach == Reach::answering;
-  if (failure.cause == Cause::withdrawn || failure.cause == Cause::noDescriptor) return Outcome::notSent;
+  if (failure.cause == Cause::noDescriptor) return Outcome::notSent; // no fault of the node's
   if (failure.cause == Cause::stopped) return written ? Outcome::cancelled : Outcome::notSent;
   if (!written) return Outcome::unreachable;
   return failure.cause == Cause::timedOut ? Outcome::timedOut : Outcome::reset;
--- a/src/peers/datagrams.cpp
+++ b/src/peers/datagrams.cpp
@@ -7,6 +7,10 @@
 
 namespace myrtlehead::peers {
 
+namespace {
+constexpr unsigned kTurn = 64; // datagrams, then others have theirs
+}
+
 // What can't be sent at once is lost, as any datagram may be.
 net::Task<> Datagrams::send() {
   for (;;) {
@@ -20,16 +24,17 @@
 
 net::Task<> Datagrams::receive() {
   std::array<char, kMostBytes + 1> bytes; // one more shows a datagram that is too long
-  for (;;) {
+  for (unsigned n = 1;; ++n) {
+    if (n % kTurn == 0) co_await sched_.sleep(0);
     net::Address from;
     socklen_t size = sizeof from.at;
-    const auto n = recvfrom(socket_->fd(), bytes.data(), bytes.size(), 0,
-                            reinterpret_cast<sockaddr *>(&from.at), &size);
-    if (n < 0 && errno == EAGAIN) co_await socket_->readable({});
-    if (n <= 0 || static_cast<std::size_t>(n) > kMostBytes) continue;
+    const auto got = recvfrom(socket_->fd(), bytes.data(), bytes.size(), 0,
+                              reinterpret_cast<sockaddr *>(&from.at), &size);
+    if (got < 0 && errno == EAGAIN) co_await socket_->readable({});
+    if (got <= 0 || static_cast<std::size_t>(got) > kMostBytes) continue;
     const auto peer = std::find(peers_.begin(), peers_.end(), from);
     if (peer == peers_.end()) continue;
-    marshal_.heard(static_cast<int>(peer - peers_.begin()), {bytes.data(), static_cast<std::size_t>(n)});
+    marshal_.heard(static_cast<int>(peer - peers_.begin()), {bytes.data(), static_cast<std::size_t>(got)});
   }
 }
 
--- a/src/peers/datagrams.h
+++ b/src/peers/datagrams.h
@@ -12,14 +12,15 @@
 public:
   Datagrams(net::Scheduler &sched, net::Descriptors &budget, Marshal &marshal, net::Address listen,
             std::vector<net::Address> peers, net::Address all)
-      : socket_(net::datagramsAt(sched, budget, listen)), marshal_(marshal), peers_(std::move(peers)),
-        all_(all) {}
+      : sched_(sched), socket_(net::datagramsAt(sched, budget, listen)), marshal_(marshal),
+        peers_(std::move(peers)), all_(all) {}
 
   net::Task<> send();
   net::Task<> receive();
   net::Address address() const { return net::localAddress(*socket_); }
 
 private:
+  net::Scheduler &sched_;
   std::unique_ptr<net::Socket> socket_;
   Marshal &marshal_;
   std::vector<net::Address> peers_;
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -256,7 +256,32 @@
   house.loop.run(body());
 }
 
+// With every client's req in hand, a new connection is refused at once rather than left in the backlog.
+static void noRoomIsSaidAtOnce() {
+  House house(StandIn::row("value"), 100 * kMs, 24);
+  auto body = [&]() -> sched::Task<> {
+    std::vector<std::unique_ptr<net::Socket>> clients;
+    std::vector<net::Buffer> buffers(20);
+    const auto bytes = opening() + query(kSql);
+    for (std::size_t i = 0; i < buffers.size(); ++i) {
+      clients.push_back(co_await house.connect());
+      co_await clients[i]->write(bytes, {});
+      co_await house.loop.sched.sleep(kMs);
+    }
+    int served = 0, refused = 0;
+    for (std::size_t i = 0; i < buffers.size(); ++i) {
+      std::string code;
+      const auto seen = co_await types(*clients[i], buffers[i], 2, &code);
+      served += seen == "RZTDCZ";
+      refused += seen == "RZE!" && code == "53300";
+    }
+    assert(served + refused == 20 && served >= 15 && refused > 0);
+  };
+  house.loop.run(body());
+}
+
 int main() {
+  noRoomIsSaidAtOnce();
   largeMessagesWaitForAPlace();
   aQueryIsServed();
   aQueryIsServedInPieces();
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -75,6 +75,9 @@
 
 // A scheduler with what network code needs; run() ends with the task, or fails after ten seconds.
 struct Loop {
+  Loop() {
+    sched.onThrow = [](const char *what) { std::fprintf(stderr, "thrown: %s\n", what); };
+  }
   void run(sched::Task<> task) {
     sched.spawn(guarded(std::move(task)));
     sched.spawn(tooLong());
