--- a/src/calls/line.cpp
+++ b/src/calls/line.cpp
@@ -9,13 +9,39 @@
 namespace {
 constexpr net::Ns kAgain = 250'000'000; // between attempts to open the standing connection
 constexpr int kPartForNew = 4; // of a call's time, one part so large goes to a new connection at most
+constexpr std::size_t kMostAnswer = 64 * 1024;
 } // namespace
 
-// The new connection takes the place of the old one, on which nobody waits any more.
+// Guards the call that is out where the address changes: its answer may still come.
+void Line::leave() {
+  if (connection_ == nullptr) return;
+  connection_->left = true;
+  if (connection_->pending.empty() || connection_->overdue) connection_->socket->shutDown();
+  connection_ = nullptr;
+}
+
+void Line::moveTo(net::Address to) {
+  if (to == to_) return;
+  to_ = to;
+  moved_->request();
+  moved_ = std::make_shared<sched::Stop>();
+  leave();
+  closed_.notify();
+}
+
+void Line::giveUp() {
+  leave();
+  closed_.notify();
+}
+
+// The new connection takes the place of the old one.
 net::Task<Cause> Line::open(net::Until until) {
+  const auto moved = moved_;
+  until.stop = moved.get();
   auto connected = co_await net::connect(sched_, budget_, to_, until);
+  if (moved->requested()) co_return Cause::stopped;
   if (!connected) co_return connected.failure().cause;
-  if (isOpen()) connection_->socket->shutDown();
+  leave();
   connection_ = std::make_shared<Connection>();
   connection_->socket = std::move(*connected);
   sched_.spawn(readAnswers(connection_));
@@ -26,7 +52,8 @@
   for (;;) {
     if (!isOpen()) {
       const net::Until until{sched_.now() + 4 * kAgain, nullptr};
-      if (co_await open(until) != Cause::none) co_await sched_.sleep(kAgain);
+      const auto opened = co_await open(until);
+      if (opened != Cause::none && opened != Cause::stopped) co_await sched_.sleep(kAgain);
     }
     if (isOpen()) co_await sched_.wait(closed_);
   }
@@ -38,7 +65,8 @@
   if (!isOpen() || connection_->overdue) {
     net::Until soon = until;
     if (isOpen()) soon.at = sched_.now() + (until.at - sched_.now()) / kPartForNew;
-    const auto opened = co_await open(soon);
+    auto opened = co_await open(soon);
+    while (opened == Cause::stopped && !isOpen()) opened = co_await open(until); // at the new address
     if (!isOpen()) co_return Failure{opened == Cause::none ? Cause::broken : opened};
   }
   const auto c = connection_;
@@ -53,6 +81,7 @@
   while (!pending->ended)
     if (co_await sched_.wait(pending->over, until) != sched::Woken::signalled) {
       c->overdue = true;
+      if (c->left) c->socket->shutDown();
       co_return Failure{Cause::timedOut, Reach::writtenWhole};
     }
   if (pending->failure.cause != Cause::none) co_return pending->failure;
@@ -71,6 +100,7 @@
     pending->answer = std::move(answer);
     pending->ended = true;
     pending->over.notify();
+    if (c->left && c->pending.empty()) break;
   }
   c->ended = true;
   for (const auto &pending : c->pending) {
@@ -98,6 +128,7 @@
     const auto parsed = body.take(buffer.view(), out.body, size);
     buffer.consume(size);
     if (parsed == http::Parsed::bad) co_return Cause::unreadable;
+    if (out.body.size() > kMostAnswer) co_return Cause::tooBig;
     if (parsed == http::Parsed::whole) break;
     const auto cause = co_await c.socket->read(buffer, {});
     if (cause == Cause::ended && body.untilEnd()) break;
--- a/src/calls/line.h
+++ b/src/calls/line.h
@@ -24,6 +24,10 @@
   // Keeps a connection open for as long as the marshal lives: one that is there when the other side stands
   // still takes calls that a new one can't carry.
   net::Task<> keepOpen();
+  // From now on calls go there; those that are out are still answered where they were written.
+  void moveTo(net::Address to);
+  // What came back can't be read: the connection is of no further use.
+  void giveUp();
 
 private:
   struct Pending {
@@ -36,8 +40,10 @@
     std::unique_ptr<net::Socket> socket;
     std::deque<std::shared_ptr<Pending>> pending;
     bool ended = false, overdue = false; // overdue: a call on it was given up unanswered
+    bool left = false;                   // replaced: it ends with its last answer
   };
   net::Task<net::Cause> open(net::Until until);
+  void leave();
   net::Task<> readAnswers(std::shared_ptr<Connection> c);
   net::Task<net::Cause> readAnswer(Connection &c, net::Buffer &buffer, Answered &out);
   bool isOpen() const { return connection_ != nullptr && !connection_->ended; }
@@ -47,6 +53,7 @@
   net::Address to_;
   std::shared_ptr<Connection> connection_;
   sched::Signal closed_;
+  std::shared_ptr<sched::Stop> moved_ = std::make_shared<sched::Stop>(); // ends an opening at the old address
 };
 
 } // namespace myrtlehead::calls
--- a/src/catalog/listing.cpp
+++ b/src/catalog/listing.cpp
@@ -1,5 +1,7 @@
 #include "catalog/listing.h"
 
+#include "net/socket.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -36,6 +38,7 @@
   if (!text(in, "status", status) || !readMode(status, out.listing.mode)) return "an unknown status";
   const bool gone = out.listing.mode == Mode::gone;
   if (!text(in, "address", out.address) && !gone) return "an entry without an address";
+  if (!gone && !net::parseAddress(out.address)) return "an address that can't be read";
   if (!number(in, "release", 0, 65535, build) && !gone) return "an entry without a release";
   number(in, "group", 0, 65535, group);
   if (in.find("since_ms") != nullptr && !number(in, "since_ms", 0, 1e13, since))
--- a/src/catalog/watch.cpp
+++ b/src/catalog/watch.cpp
@@ -16,14 +16,30 @@
   return true;
 }
 
-// A new wish replaces the watch that is open: it may be one that gives no answer.
 net::Task<> Watch::run() {
-  std::shared_ptr<sched::Stop> open;
   for (;;) {
     co_await marshal_.listWanted();
-    if (open) open->request();
-    open = std::make_shared<sched::Stop>();
-    sched_.spawn(follow(++turn_, open));
+    open();
+  }
+}
+
+void Watch::moveTo(net::Address at) {
+  if (at == at_) return;
+  at_ = at;
+  open();
+}
+
+// Guards against a gap in the list: an older watch, which may give no answer or be about to end, is followed
+// until a newer one has told something.
+void Watch::open() {
+  open_[++turn_] = std::make_shared<sched::Stop>();
+  sched_.spawn(follow(turn_, open_[turn_]));
+}
+
+void Watch::replaces(std::uint64_t turn) {
+  while (!open_.empty() && open_.begin()->first < turn) {
+    open_.begin()->second->request();
+    open_.erase(open_.begin());
   }
 }
 
@@ -37,12 +53,17 @@
   std::string line;
   if (cause == net::Cause::none && call.head().status != 200) cause = net::Cause::refused;
   while (cause == net::Cause::none) {
-    while (cause == net::Cause::none && http::takeLine(call.body, line))
-      if (!line.empty() && !this->line(line)) cause = net::Cause::unreadable;
+    while (cause == net::Cause::none && !stop->requested() && http::takeLine(call.body, line)) {
+      if (!line.empty() && !this->line(line))
+        cause = net::Cause::unreadable;
+      else
+        replaces(turn);
+    }
     if (cause != net::Cause::none) break;
     const net::Until next{sched_.now() + kSilence, stop.get()};
     cause = co_await call.more(next);
   }
+  open_.erase(turn);
   if (turn != turn_) co_return; // replaced meanwhile
   log_.info("watch on discovery ended: ", net::word(cause), ", status ", call.head().status);
   marshal_.listFailed();
--- a/src/catalog/watch.h
+++ b/src/catalog/watch.h
@@ -4,6 +4,8 @@
 #include "calls/exchange.h"
 #include "catalog/listing.h"
 
+#include <map>
+
 namespace myrtlehead::catalog {
 
 class Watch {
@@ -15,9 +17,12 @@
 
   bool start(const json::Value &known); // the list as this marshal last had it; false: it is no list
   net::Task<> run();
+  void moveTo(net::Address at); // asks there at once
 
 private:
+  void open();
   net::Task<> follow(std::uint64_t turn, std::shared_ptr<sched::Stop> stop);
+  void replaces(std::uint64_t turn);
   bool line(const std::string &text);
   net::Scheduler &sched_;
   net::Descriptors &budget_;
@@ -27,6 +32,7 @@
   std::vector<std::string> zones_;
   Ns unixAtZero_;
   std::uint64_t index_ = 0, turn_ = 0;
+  std::map<std::uint64_t, std::shared_ptr<sched::Stop>> open_; // by their turns
 };
 
 } // namespace myrtlehead::catalog
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t kMostHead = 16 * 1024, kMostLine = 256;
+constexpr std::size_t kMostHead = 16 * 1024, kMostLine = 256, kMostEvent = 64 * 1024;
 constexpr std::uint64_t kMostBody = 16 * 1024 * 1024;
 
 std::string_view trimmed(std::string_view s) {
@@ -212,13 +212,13 @@
   return true;
 }
 
-bool takeEvent(std::string &text, Event &out) {
+Taken takeEvent(std::string &text, Event &out) {
   for (;;) {
     // Whole events only: the blank line that ends one must be there.
     std::size_t end = 0, at = 0;
     for (bool ended = false; !ended; at = end + 1) {
       end = text.find('\n', at);
-      if (end == std::string::npos) return false;
+      if (end == std::string::npos) return text.size() > kMostEvent ? Taken::unreadable : Taken::none;
       const auto size = end - at;
       ended = size == 0 || (size == 1 && text[at] == '\r');
     }
@@ -228,6 +228,8 @@
     while (takeLine(text, line) && !line.empty()) {
       const auto colon = std::min(line.find(':'), line.size());
       const auto name = line.substr(0, colon);
+      if (name != "event" && name != "data" && name != "id" && name != "retry" && !name.empty())
+        return Taken::unreadable;
       auto value = line.substr(std::min(colon + 1, line.size()));
       if (!value.empty() && value[0] == ' ') value.erase(0, 1);
       if (name == "event") out.name = value;
@@ -236,7 +238,7 @@
       out.data += value;
       any = true;
     }
-    if (any) return true; // one without data is no event
+    if (any) return Taken::event; // one without data is no event
   }
 }
 
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -43,11 +43,13 @@
 bool parseForm(std::string_view text, Fields &out); // a=b&c=d, percent-encoded
 std::string writeForm(const Fields &fields);
 
-// One event of an event stream, taken off the front of `text`; false: none is whole yet.
+// One event of an event stream, taken off the front of `text`. unreadable: a line that no event stream has,
+// or one that does not end.
 struct Event {
   std::string name, data;
 };
-bool takeEvent(std::string &text, Event &out);
+enum class Taken { none, event, unreadable };
+Taken takeEvent(std::string &text, Event &out);
 
 // A line taken off the front of `text`, without its end; false: none is whole yet.
 bool takeLine(std::string &text, std::string &line);
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -18,6 +18,7 @@
   std::vector<std::pair<std::string, Value>> fields;
 
   const Value *find(std::string_view name) const; // the last of that name
+  bool operator==(const Value &) const = default;
 };
 
 // nullopt: not one whole JSON value, or nested too deep; `error` then says why.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
+#include <optional>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -39,20 +40,79 @@
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   sigprocmask(SIG_BLOCK, &set, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
-sched::Task<> endOnSignal(sched::Scheduler &sched, net::Socket &signals, clients::Door &door, log::Log &log) {
-  co_await signals.readable({});
+// Guards against a file that is read while it is replaced: what can't be decoded is read again for a second.
+sched::Task<std::optional<setup::Station>> readAgain(sched::Scheduler &sched, const char *path,
+                                                     log::Log &log) {
+  std::string why;
+  for (int tries = 0; tries < 10; ++tries) {
+    if (tries > 0) co_await sched.sleep(kSec / 10);
+    try {
+      co_return setup::readStation(setup::readFile(path));
+    } catch (const std::exception &e) {
+      why = e.what();
+    }
+  }
+  log.error("the new configuration is not taken up: ", why);
+  co_return std::nullopt;
+}
+
+// What a running marshal takes up: where discovery and the platform are.
+struct Movable {
+  const char *path;
+  const setup::Station &started;
+  catalog::Watch &watch;
+  platform::Desk &desk;
+};
+
+// SIGHUP; one that comes while an earlier one is heeded is not forgotten.
+struct Wish {
+  bool open = false;
+  sched::Signal made;
+};
+
+sched::Task<> takeUp(sched::Scheduler &sched, const Movable &parts, Wish &wish, log::Log &log) {
+  for (;;) {
+    while (!wish.open) co_await sched.wait(wish.made);
+    wish.open = false;
+    const auto station = co_await readAgain(sched, parts.path, log);
+    if (!station) continue;
+    const auto rest = setup::needsRestart(parts.started, *station);
+    if (!rest.empty()) log.warning("needs a restart to take up: ", rest);
+    parts.watch.moveTo(station->discovery);
+    parts.desk.moveTo(station->platform);
+    log.info("took up the configuration: discovery at ", net::text(station->discovery), ", platform at ",
+             net::text(station->platform));
+  }
+}
+
+sched::Task<> heedSignals(sched::Scheduler &sched, net::Socket &signals, clients::Door &door, Wish &wish,
+                          log::Log &log) {
+  for (;;) {
+    signalfd_siginfo info{};
+    const auto got = read(signals.fd(), &info, sizeof info);
+    if (got != sizeof info) {
+      co_await signals.readable({});
+    } else if (info.ssi_signo == SIGHUP) {
+      wish.open = true;
+      wish.made.notify();
+    } else {
+      break;
+    }
+  }
   log.info("asked to end: answers what it has taken");
   co_await door.close();
   log.info("ended");
   sched.halt();
 }
 
-void serve(const setup::Station &station, log::Log &log) {
+void serve(const char *path, log::Log &log) {
+  const auto station = setup::readStation(setup::readFile(path));
   sched::Scheduler sched;
   sched.onThrow = [&](const char *what) { log.error("a coroutine ended early: ", what); };
   constexpr int kOwn = 8; // standard streams, epoll, and what the library opens
@@ -87,7 +147,10 @@
     sched.spawn(datagrams->receive());
   }
   sched.spawn(door.accept());
-  sched.spawn(endOnSignal(sched, signals, door, log));
+  Wish wish;
+  const Movable parts{path, station, watch, desk};
+  sched.spawn(takeUp(sched, parts, wish, log));
+  sched.spawn(heedSignals(sched, signals, door, wish, log));
   log.info("marshal ", station.name, " serves ", station.routes.size(), " routes at ",
            net::text(door.address()));
   sched.run();
@@ -112,7 +175,7 @@
   std::ostream out(&lines);
   log::Log log(out, *least);
   try {
-    serve(setup::readStation(setup::readFile(path)), log);
+    serve(path, log);
   } catch (const std::exception &e) {
     std::cerr << "myrtlehead: " << e.what() << '\n';
     return 1;
--- a/src/platform/desk.cpp
+++ b/src/platform/desk.cpp
@@ -26,7 +26,11 @@
   const net::Until until{sched_.now() + callWithin_, nullptr};
   auto request = http::writeRequest("POST", "/", "platform", form);
   auto answered = co_await line_.call(std::move(request), until);
-  if (answered) co_return readAnswer(answered->status, answered->body);
+  if (answered) {
+    const auto answer = readAnswer(answered->status, answered->body);
+    if (!answer) line_.giveUp(); // what stands behind it could be anything
+    co_return answer.value_or(Answer{});
+  }
   const auto &failure = answered.failure();
   log_.debug("call on the platform failed: ", net::word(failure.cause), ", reach ",
              static_cast<int>(failure.reach));
@@ -34,43 +38,76 @@
   co_return Answer{never ? Reply::error : Reply::timedOut, {}};
 }
 
+// The first bulletin, and one more whenever the latest has ended or the platform has moved.
 net::Task<> Desk::readBulletin() {
   for (;;) {
-    const auto cause = co_await follow();
-    log_.info("bulletin of the platform ended: ", net::word(cause));
-    co_await sched_.sleep(kAgain);
+    open_[++turn_] = std::make_shared<sched::Stop>();
+    sched_.spawn(follow(turn_, open_[turn_]));
+    co_await sched_.wait(wanted_);
+  }
+}
+
+void Desk::moveTo(net::Address at) {
+  if (at == at_) return;
+  at_ = at;
+  line_.moveTo(at);
+  wanted_.notify();
+}
+
+void Desk::replaces(std::uint64_t turn) {
+  while (!open_.empty() && open_.begin()->first < turn) {
+    open_.begin()->second->request();
+    open_.erase(open_.begin());
   }
 }
 
-net::Task<net::Cause> Desk::follow() {
+// Guards against a gap in the news: an older bulletin is read until a newer one has told the state, which it
+// does at once. Nothing of one is believed from the first byte on that can't be read.
+net::Task<> Desk::follow(std::uint64_t turn, std::shared_ptr<sched::Stop> stop) {
   calls::Exchange exchange(sched_, budget_);
   auto request = http::writeRequest("GET", "/bulletin", "platform");
-  const net::Until first{sched_.now() + kSilence, nullptr};
+  const net::Until first{sched_.now() + kSilence, stop.get()};
   const auto asked = co_await exchange.ask(at_, std::move(request), first);
   auto cause = asked.cause;
   if (cause == net::Cause::none && exchange.head().status != 200) cause = net::Cause::refused;
   while (cause == net::Cause::none) {
     http::Event event;
-    while (http::takeEvent(exchange.body, event)) this->event(event);
-    const net::Until next{sched_.now() + kSilence, nullptr};
+    auto taken = http::Taken::none;
+    while (!stop->requested() && (taken = http::takeEvent(exchange.body, event)) == http::Taken::event) {
+      if (!this->event(event)) taken = http::Taken::unreadable;
+      if (taken != http::Taken::event) break;
+      replaces(turn);
+    }
+    if (taken == http::Taken::unreadable) {
+      cause = net::Cause::unreadable;
+      break;
+    }
+    const net::Until next{sched_.now() + kSilence, stop.get()};
     cause = co_await exchange.more(next);
   }
-  co_return cause;
+  open_.erase(turn);
+  if (turn != turn_) co_return; // replaced meanwhile
+  log_.info("bulletin of the platform ended: ", net::word(cause));
+  co_await sched_.sleep(kAgain);
+  if (turn == turn_) wanted_.notify();
 }
 
-void Desk::event(const http::Event &event) {
+bool Desk::event(const http::Event &event) {
   http::Fields fields;
   const bool form = http::parseForm(event.data, fields);
   if (event.name == "stage" && form) {
-    if (const auto news = readNews(fields)) return marshal_.news(*news);
-  } else if (event.name == "flag" && form) {
-    if (const auto flag = readFlag(fields)) {
-      const auto at = std::find(routes_.begin(), routes_.end(), flag->route);
-      if (at != routes_.end())
-        return marshal_.flagged(flag->server, static_cast<int>(at - routes_.begin()), flag->age);
-    }
+    const auto news = readNews(fields);
+    if (news) marshal_.news(*news);
+    return news.has_value();
+  }
+  if (event.name == "flag" && form) {
+    const auto flag = readFlag(fields);
+    const auto at = flag ? std::find(routes_.begin(), routes_.end(), flag->route) : routes_.end();
+    if (at != routes_.end())
+      marshal_.flagged(flag->server, static_cast<int>(at - routes_.begin()), flag->age);
+    return at != routes_.end();
   }
-  log_.warning("the bulletin held an event that can't be read: ", event.name);
+  return event.name == "tally" && form; // other deployments' counts, which this protocol does not carry
 }
 
 } // namespace myrtlehead::platform
--- a/src/platform/desk.h
+++ b/src/platform/desk.h
@@ -6,6 +6,8 @@
 #include "marshal/marshal.h"
 #include "platform/words.h"
 
+#include <map>
+
 namespace myrtlehead::platform {
 
 class Desk {
@@ -19,10 +21,12 @@
   net::Task<> readBulletin();
   net::Task<> keepOpen() { return line_.keepOpen(); }
   net::Task<Answer> call(std::string form);
+  void moveTo(net::Address at); // news and votes come and go there at once
 
 private:
-  net::Task<net::Cause> follow();
-  void event(const http::Event &event);
+  net::Task<> follow(std::uint64_t turn, std::shared_ptr<sched::Stop> stop);
+  void replaces(std::uint64_t turn);
+  bool event(const http::Event &event); // false: it can't be read
   net::Scheduler &sched_;
   net::Descriptors &budget_;
   Marshal &marshal_;
@@ -31,6 +35,9 @@
   std::vector<std::string> routes_;
   calls::Line line_;
   Ns callWithin_;
+  std::uint64_t turn_ = 0;
+  std::map<std::uint64_t, std::shared_ptr<sched::Stop>> open_; // bulletins, by their turns
+  sched::Signal wanted_;                                       // a bulletin
 };
 
 } // namespace myrtlehead::platform
--- a/src/platform/words.cpp
+++ b/src/platform/words.cpp
@@ -54,18 +54,19 @@
 }
 
 // An answer that can't be read leaves open whether the vote counts.
-Answer readAnswer(int status, std::string_view body) {
+std::optional<Answer> readAnswer(int status, std::string_view body) {
   http::Fields leaves;
-  if (!http::parseXml(body, leaves)) return {};
+  if (!http::parseXml(body, leaves)) return std::nullopt;
   if (status == 200) {
     const auto news = readNews(leaves);
-    return news ? Answer{Reply::ok, news} : Answer{};
+    return news ? std::optional(Answer{Reply::ok, news}) : std::nullopt;
   }
   const auto code = http::value(leaves, "Code");
-  if (code == "BUSY") return {Reply::full, {}};
-  if (code == "STALE") return {Reply::moot, {}};
-  if (code == "FAILED" || code == "SYNTAX") return {Reply::error, {}};
-  return {};
+  if (status == 400 && code == "BUSY") return Answer{Reply::full, {}};
+  if (status == 400 && code == "STALE") return Answer{Reply::moot, {}};
+  if ((status == 500 && code == "FAILED") || (status == 400 && code == "SYNTAX"))
+    return Answer{Reply::error, {}};
+  return std::nullopt;
 }
 
 std::string voteForm(const Vote &vote) {
--- a/src/platform/words.h
+++ b/src/platform/words.h
@@ -23,7 +23,7 @@
   Reply reply = Reply::timedOut;
   std::optional<News> news;
 };
-Answer readAnswer(int status, std::string_view body);
+std::optional<Answer> readAnswer(int status, std::string_view body); // nullopt: it can't be read
 
 std::string voteForm(const Vote &vote);
 
--- a/src/setup/station.cpp
+++ b/src/setup/station.cpp
@@ -55,6 +55,16 @@
   return text.str();
 }
 
+std::string needsRestart(const Station &from, const Station &to) {
+  std::string out;
+  for (const char *name : {"name", "listen", "peer_listen", "peers", "peers_all", "limits", "settings"}) {
+    const auto *was = from.text.find(name), *is = to.text.find(name);
+    if ((was == nullptr) == (is == nullptr) && (was == nullptr || *was == *is)) continue;
+    out += (out.empty() ? "" : ", ") + std::string(name);
+  }
+  return out;
+}
+
 Station readStation(std::string_view text) {
   std::string error;
   const auto in = json::parse(text, &error);
@@ -92,6 +102,7 @@
   if (s.deployment.routes.empty()) throw SetupError("settings: there is no route");
   if (s.deployment.peers && s.peers.size() != static_cast<std::size_t>(s.deployment.marshals))
     throw SetupError("the configuration's 'peers' has not one address for each marshal");
+  s.text = *in;
   return s;
 }
 
--- a/src/setup/station.h
+++ b/src/setup/station.h
@@ -18,10 +18,15 @@
   std::vector<Ns> routeTimeouts;
   Ns connectWithin = 0, idleAtMost = 0, callWithin = 0;
   json::Value known, news; // in the forms of discovery and of the platform
+  json::Value text;        // all of it
 };
 
 // Throws SetupError.
 Station readStation(std::string_view text);
 std::string readFile(const std::string &path);
 
+// The fields of `to` that differ from `from` and that a running marshal can't take up; "" for none. What a
+// start alone reads (seed, known, news) does not count.
+std::string needsRestart(const Station &from, const Station &to);
+
 } // namespace myrtlehead::setup
--- a/tests/end_to_end_test.cpp
+++ b/tests/end_to_end_test.cpp
@@ -125,6 +125,36 @@
   assert(exitCode(child) == 0);
 }
 
+// SIGHUP: a file that can't be read changes nothing, another place is followed from then on.
+static void takesUpAnotherPlace() {
+  Loop loop;
+  const auto any = *net::parseAddress("127.0.0.1:0");
+  example::Fleet fleet(loop.sched, loop.budget, {any, any, 1, {{"s-1", any}}, {1}});
+  example::Fleet moved(loop.sched, loop.budget, {any, any, 1, {{"s-9", any}}, {1}});
+  auto child = start(loop, configuration(fleet));
+  auto body = [&]() -> sched::Task<> {
+    co_await seen(child, "\n");
+    std::ofstream(std::getenv("PROXY_CONFIG")) << "{";
+    kill(child.pid, SIGHUP);
+    co_await seen(child, "not taken up");
+    std::ofstream(std::getenv("PROXY_CONFIG")) << configuration(moved);
+    kill(child.pid, SIGHUP);
+    kill(child.pid, SIGHUP);
+    co_await seen(child, "took up");
+    auto client = co_await net::connect(loop.sched, loop.budget, listening(child), {});
+    assert(client);
+    std::string opening;
+    pg::addStartup(opening, "svc", "main");
+    co_await (*client)->write(opening, {});
+    net::Buffer b;
+    while ((co_await ask(**client, b)).find("s-9") == std::string::npos) co_await loop.sched.sleep(10 * kMs);
+    kill(child.pid, SIGTERM);
+    co_await seen(child, "ended");
+  };
+  loop.run(body());
+  assert(exitCode(child) == 0);
+}
+
 static void badStartsEndWithOneSentence() {
   Loop loop;
   const auto fault = [&](const std::string &configuration, std::vector<std::string> arguments,
@@ -147,4 +177,5 @@
 int main() {
   badStartsEndWithOneSentence();
   servesThroughARollout();
+  takesUpAnotherPlace();
 }
