Pass on only the one answer due, and fence a node's connection before its next try

At fault, by reading: pool.cpp's exchange() passed T, D and C on in any order and number and waited for the whole of a message of any type; a second copy that came after a connection was taken again would have been the next req's answer; readLoads() took inf, nan and negative numbers. Tests: the answer's grammar cut anywhere and spoilt in each place, second copies at once and late, reports that can't be.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -133,6 +133,10 @@
   co_return Cause::none;
 }
 
+bool Socket::writeNow(std::string_view bytes) {
+  return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+}
+
 bool Socket::quiet() const {
   char byte;
   return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -39,8 +39,9 @@
   Task<Cause> read(Buffer &into, Until until);
   Task<Cause> write(std::string_view bytes, Until until); // all of them
   Task<Cause> readable(Until until);
-  Cause readNow(Buffer &into); // timedOut: nothing there
-  bool quiet() const;          // open, with nothing to read
+  Cause readNow(Buffer &into);           // timedOut: nothing there
+  bool writeNow(std::string_view bytes); // all of them, without waiting
+  bool quiet() const;                    // open, with nothing to read
   void onHangUp(sched::Stop *stop);
   void endWriting();
   void shutDown(); // whoever reads or writes here sees its end
--- a/src/nodes/pool.cpp
+++ b/src/nodes/pool.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int kControlShare = 16; // descriptors kept for calls on discovery and the platform
+constexpr Ns kSettled = kSec;     // for what is due behind an answer to come
 
 // The next message of a connection, at the front of its buffer until it is consumed.
 net::Task<Failure> nextMessage(net::Socket &socket, net::Buffer &buffer, net::Until until, Reach reach,
@@ -39,22 +40,25 @@
   return failure.cause == Cause::timedOut ? Outcome::timedOut : Outcome::reset;
 }
 
+// Guards the belief of load against reports that can't be: one bad value spoils all of them.
 std::vector<float> readLoads(std::string_view text, const std::vector<std::string> &names) {
-  std::vector<float> out(names.size(), std::nanf(""));
+  constexpr float kMost = 1e6f;
+  std::vector<float> out(names.size(), -1);
   while (!text.empty()) {
     const auto end = std::min(text.find(','), text.size());
     const auto item = text.substr(0, end);
     text.remove_prefix(std::min(end + 1, text.size()));
     const auto eq = std::min(item.find('='), item.size());
     const auto at = std::find(names.begin(), names.end(), item.substr(0, eq));
-    if (at == names.end() || eq == item.size()) continue;
-    const auto word = item.substr(eq + 1);
+    if (at == names.end()) continue;
+    const auto word = item.substr(std::min(eq + 1, item.size()));
     float value = 0;
     const auto r = std::from_chars(word.data(), word.data() + word.size(), value);
-    if (r.ec == std::errc{} && r.ptr == word.data() + word.size())
-      out[static_cast<std::size_t>(at - names.begin())] = value;
+    const bool whole = r.ec == std::errc{} && r.ptr == word.data() + word.size();
+    out[static_cast<std::size_t>(at - names.begin())] = whole && value <= kMost ? value : -1; // nan is not
   }
-  return out;
+  const auto is = [](float value) { return value >= 0; };
+  return std::all_of(out.begin(), out.end(), is) ? out : std::vector<float>{};
 }
 
 net::Task<Tried> Pool::attempt(const Target &target, const pg::Statement &statement, net::Until until,
@@ -124,69 +128,92 @@
   }
 }
 
-// The statement is written and its answer read, up to ReadyForQuery if that has come along.
+// The statement is written and its answer read, up to ReadyForQuery if that has come along. What is passed on
+// has the form of the one answer due; anything else may have run and is not believed.
 net::Task<Failure> Pool::exchange(Connection &c, std::string query, net::Until until, Tried &out) {
   const auto written = co_await c.socket->write(query, until);
   if (written != Cause::none) co_return Failure{written, Reach::partlyWritten};
-  bool over = false;
+  bool over = false, any = false;
   while (!over) {
     pg::Message m;
-    const auto failure = co_await nextMessage(*c.socket, c.buffer, until, Reach::writtenWhole, m);
-    if (failure.cause != Cause::none) co_return failure;
-    if (m.type == 'S') {
-      readParameter(m.body, out);
-    } else if (m.type == 'T' || m.type == 'D' || m.type == 'C') {
-      out.answer += c.buffer.view().substr(0, m.size);
-      over = m.type == 'C';
-      if (over) out.outcome = Outcome::completed;
-    } else if (m.type == 'E') {
-      over = true;
-      out.outcome = pg::errorCode(m.body) == "53300" ? Outcome::turnedAway : Outcome::errored;
-    } else if (m.type != 'N') {
-      co_return Failure{Cause::unreadable, Reach::answering};
+    const auto part = c.reply.next(c.buffer.view(), m);
+    if (part == pg::Reply::more) {
+      const auto cause = co_await c.socket->read(c.buffer, until);
+      if (cause != Cause::none) co_return Failure{cause, any ? Reach::answering : Reach::writtenWhole};
+      any = true;
+      continue;
     }
+    if (part == pg::Reply::bad || part == pg::Reply::empty)
+      co_return Failure{Cause::unreadable, Reach::answering};
+    if (part == pg::Reply::aside && m.type == 'S') readParameter(m.body, out);
+    if (part == pg::Reply::error)
+      out.outcome = pg::errorCode(m.body) == "53300" ? Outcome::turnedAway : Outcome::errored;
+    else if (part != pg::Reply::aside)
+      out.answer += c.buffer.view().substr(0, m.size);
+    if (part == pg::Reply::complete) out.outcome = Outcome::completed;
+    over = part == pg::Reply::complete || part == pg::Reply::error;
     c.buffer.consume(m.size);
   }
   // The load report stands between the answer and ReadyForQuery. What has not come along is read later.
-  c.settled = false;
+  fence(c);
   settle(c, &out);
   co_return Failure{};
 }
 
 void Pool::readParameter(std::string_view body, Tried &out) {
   std::string_view name, value;
-  if (pg::takeText(body, name) && pg::takeText(body, value) && name == "load")
-    out.loads = readLoads(value, loadNames_);
-  const bool lacks = std::any_of(out.loads.begin(), out.loads.end(), [](float v) { return std::isnan(v); });
-  if (lacks && !std::exchange(lacking_, true))
-    log_.warning("load reports lack a field of the configuration: ", value);
+  if (!pg::takeText(body, name) || !pg::takeText(body, value) || name != "load") return;
+  out.loads = readLoads(value, loadNames_);
+  if (out.loads.empty() && !loadNames_.empty() && !std::exchange(lacking_, true))
+    log_.warning("a load report lacks a field or can't be read: ", value.substr(0, 100));
 }
 
-// Takes what is held up to ReadyForQuery; false: something stands there that may not.
-bool Pool::settle(Connection &c, Tried *out) {
+// Guards against a second copy of an answer, or noise, that comes behind it: an empty query has no effect,
+// and its answer can't overtake what the node has sent before.
+void Pool::fence(Connection &c) {
+  std::string query;
+  pg::addQuery(query, "");
+  c.due = 2;
+  c.emptyDue = true;
+  c.spoilt = !c.socket->writeNow(query);
+}
+
+// Takes what has come of what is due behind an answer: ReadyForQuery, then the empty query's answer.
+void Pool::settle(Connection &c, Tried *out) {
   pg::Message m;
-  while (!c.settled && pg::parseMessage(c.buffer.view(), m) == pg::Parsed::whole) {
-    if (m.type == 'S' && out != nullptr) readParameter(m.body, *out);
-    if (m.type == 'Z') c.settled = true;
-    if (m.type != 'S' && m.type != 'N' && m.type != 'Z') return false;
+  while (!c.spoilt && (c.due > 0 || !c.buffer.empty())) {
+    const auto part = c.reply.next(c.buffer.view(), m);
+    if (part == pg::Reply::more) return;
+    const bool ready = part == pg::Reply::ready && (c.due == 2 || (c.due == 1 && !c.emptyDue));
+    const bool empty = part == pg::Reply::empty && c.due == 1 && c.emptyDue;
+    if (part == pg::Reply::aside && m.type == 'S' && out != nullptr) readParameter(m.body, *out);
+    c.spoilt = part != pg::Reply::aside && !ready && !empty;
+    if (c.spoilt) return;
+    c.due -= ready;
+    c.emptyDue = c.emptyDue && !empty;
     c.buffer.consume(m.size);
   }
-  return true;
 }
 
-// Open, and nothing there but what was due.
-bool Pool::usable(Connection &c) {
-  if (!c.settled && c.socket->readNow(c.buffer) == Cause::none && !settle(c, nullptr)) return false;
-  return c.settled && c.buffer.empty() && c.socket->quiet();
+Pool::Standing Pool::standing(Connection &c) {
+  const auto cause = c.socket->readNow(c.buffer);
+  if (cause != Cause::none && cause != Cause::timedOut) return useless;
+  settle(c, nullptr);
+  if (c.spoilt || (c.due == 0 && !c.buffer.empty())) return useless;
+  return c.due > 0 ? unsettled : usable;
 }
 
 Pool::Held Pool::take(const Target &target) {
   if (target.index >= places_.size()) return nullptr;
   auto &idle = places_[target.index].idle;
-  while (!idle.empty()) {
-    auto c = std::move(idle.back());
-    idle.pop_back();
-    if (c->changes == target.changes && sched_.now() - c->idleSince < idleAtMost_ / 2 && usable(*c)) return c;
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    const bool fresh = idle[i]->changes == target.changes &&
+                       sched_.now() - idle[i]->idleSince < idleAtMost_ / 2;
+    const auto stands = fresh ? standing(*idle[i]) : useless;
+    if (stands == unsettled) continue;
+    auto c = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (stands == usable) return c;
   }
   return nullptr;
 }
@@ -207,7 +234,8 @@
     for (auto &place : places_)
       std::erase_if(place.idle, [&](const Held &c) {
         const bool old = sched_.now() - c->idleSince >= idleAtMost_ / 2;
-        return old || c->changes != place.target->changes || !usable(*c);
+        const bool late = c->due > 0 && sched_.now() - c->idleSince >= kSettled;
+        return old || late || c->changes != place.target->changes || standing(*c) == useless;
       });
   }
 }
--- a/src/nodes/pool.h
+++ b/src/nodes/pool.h
@@ -1,9 +1,11 @@
 // Connections to nodes, and upstream tries on them. A connection carries one try at a time and is used again
-// only after a whole answer with nothing left over.
+// only after a whole answer with nothing left over, and once an empty query behind it has been answered: so
+// what a node sends too much shows before the next try, and can't become its answer.
 #pragma once
 
 #include "marshal/marshal.h"
 #include "net/socket.h"
+#include "pg/message.h"
 #include "pg/statement.h"
 
 #include <functional>
@@ -20,7 +22,7 @@
 // From how far the attempt had come to what that proves.
 Outcome outcomeOf(const net::Failure &failure);
 
-// "inflight=7,util=0.61": the values of `names`, in their order; not a number where one is missing.
+// "inflight=7,util=0.61": the values of `names`, in their order; none where one is missing or can't be.
 std::vector<float> readLoads(std::string_view text, const std::vector<std::string> &names);
 
 class Pool {
@@ -42,7 +44,10 @@
     net::Buffer buffer;
     std::uint64_t changes = 0; // of its target, when it was opened
     Ns idleSince = 0;
-    bool settled = true; // ReadyForQuery has been read
+    pg::Reply reply;
+    int due = 0;           // ReadyForQuery messages that are still to come
+    bool emptyDue = false; // and the empty query's answer before the last of them
+    bool spoilt = false;   // something stands there that may not
   };
   using Held = std::unique_ptr<Connection>;
 
@@ -51,8 +56,10 @@
   net::Task<net::Failure> exchange(Connection &c, std::string query, net::Until until, Tried &out);
   Held take(const Target &target);
   void keep(const Target &target, Held c);
-  bool usable(Connection &c);
-  bool settle(Connection &c, Tried *out);
+  enum Standing { usable, unsettled, useless };
+  Standing standing(Connection &c);
+  void settle(Connection &c, Tried *out);
+  void fence(Connection &c);
   void readParameter(std::string_view body, Tried &out);
 
   net::Scheduler &sched_;
--- a/src/pg/message.cpp
+++ b/src/pg/message.cpp
@@ -1,5 +1,7 @@
 #include "pg/message.h"
 
+#include <algorithm>
+
 namespace myrtlehead::pg {
 
 namespace {
@@ -60,6 +62,105 @@
   return true;
 }
 
+namespace {
+
+constexpr int kMostAsides = 32;                              // notices and parameters for one answer
+constexpr std::size_t kMostSmall = 16 * 1024, kMostTag = 64; // messages without a value
+constexpr std::size_t kColumn = 18;                          // of a RowDescription, behind the name
+constexpr std::string_view kOne("\0\1", 2);                  // one column
+
+bool oneColumn(std::string_view body) {
+  std::string_view name;
+  if (body.substr(0, 2) != kOne) return false;
+  body.remove_prefix(2);
+  return takeText(body, name) && body.size() == kColumn;
+}
+
+bool oneValue(std::string_view body) {
+  return body.size() >= 6 && body.substr(0, 2) == kOne && number(body.substr(2)) == body.size() - 6;
+}
+
+bool tag(std::string_view body) {
+  std::string_view text;
+  if (!takeText(body, text) || !body.empty() || text.empty()) return false;
+  return std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c <= '~'; });
+}
+
+// Fields of a type and a text each, closed by a zero, with an SQLSTATE among them.
+bool complaint(std::string_view body) {
+  bool code = false;
+  std::string_view text;
+  while (!body.empty() && body[0] != '\0') {
+    const char type = body[0];
+    body.remove_prefix(1);
+    if (!takeText(body, text)) return false;
+    if (type == 'C') code = text.size() == 5;
+  }
+  return code && body.size() == 1;
+}
+
+std::size_t mostOf(Reply::Part part) {
+  if (part == Reply::row) return kMostBytes;
+  return part == Reply::complete || part == Reply::ready || part == Reply::empty ? kMostTag : kMostSmall;
+}
+
+bool fits(Reply::Part part, std::string_view body) {
+  switch (part) {
+  case Reply::description:
+    return oneColumn(body);
+  case Reply::row:
+    return oneValue(body);
+  case Reply::complete:
+    return tag(body);
+  case Reply::error:
+    return complaint(body);
+  case Reply::ready:
+    return body == "I";
+  case Reply::empty:
+    return body.empty();
+  default:
+    return true;
+  }
+}
+
+} // namespace
+
+Reply::Part Reply::part(char type) const {
+  switch (type) {
+  case 'S':
+  case 'N':
+    return aside;
+  case 'T':
+    return due_ == anything ? description : bad;
+  case 'D':
+    return due_ == rowDue ? row : bad;
+  case 'C':
+    return due_ == completeDue ? complete : bad;
+  case 'E':
+    return due_ != readyDue ? error : bad;
+  case 'I':
+    return due_ == anything ? empty : bad;
+  case 'Z':
+    return due_ == readyDue ? ready : bad;
+  }
+  return bad;
+}
+
+// Guards against noise, lengths that don't fit and values that never end: a message is refused by its type
+// and its announced size, before its rest is waited for or held.
+Reply::Part Reply::next(std::string_view in, Message &out) {
+  if (in.empty()) return more;
+  const auto is = part(in[0]);
+  if (is == bad || announcedSize(in) > mostOf(is) + 5) return bad;
+  const auto parsed = parseMessage(in, out);
+  if (parsed == Parsed::more) return more;
+  if (parsed == Parsed::bad || !fits(is, out.body) || (is == aside && ++asides_ > kMostAsides)) return bad;
+  if (is != aside)
+    due_ = is == description ? rowDue : is == row ? completeDue : is == ready ? anything : readyDue;
+  if (is == ready) asides_ = 0;
+  return is;
+}
+
 std::string_view errorCode(std::string_view body) {
   while (!body.empty() && body[0] != '\0') {
     const char field = body[0];
--- a/src/pg/message.h
+++ b/src/pg/message.h
@@ -32,6 +32,20 @@
 // A text up to its closing zero, taken off the front; nullopt-like: false where there is none.
 bool takeText(std::string_view &body, std::string_view &text);
 
+// What a node says on a connection, message by message, in the one order that answers a statement: a
+// RowDescription of one column, one DataRow of one column, CommandComplete, or an ErrorResponse; then
+// ReadyForQuery. Notices and ParameterStatus may stand anywhere. `bad` as soon as the bytes show it.
+class Reply {
+public:
+  enum Part { more, aside, description, row, complete, error, ready, empty, bad };
+  Part next(std::string_view in, Message &out);
+
+private:
+  Part part(char type) const;
+  enum Due { anything, rowDue, completeDue, readyDue } due_ = anything;
+  int asides_ = 0;
+};
+
 // SQLSTATE of an ErrorResponse; empty where it names none.
 std::string_view errorCode(std::string_view body);
 
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -134,14 +134,19 @@
     pg::addReady(out);
     co_return co_await s.write(out, {}) == net::Cause::none;
   }
-  // The next query's text; empty at the connection's end.
+  // The next query's text; empty at the connection's end. Empty queries are answered on the way.
   static sched::Task<std::string> query(net::Socket &s, net::Buffer &b) {
-    pg::Message m;
-    while (pg::parseMessage(b.view(), m) != pg::Parsed::whole)
-      if (co_await s.read(b, {}) != net::Cause::none) co_return "";
-    std::string text(m.body.substr(0, m.body.size() - 1));
-    b.consume(m.size);
-    co_return text;
+    for (;;) {
+      pg::Message m;
+      while (pg::parseMessage(b.view(), m) != pg::Parsed::whole)
+        if (co_await s.read(b, {}) != net::Cause::none) co_return "";
+      std::string text(m.body.substr(0, m.body.size() - 1)), empty;
+      b.consume(m.size);
+      if (!text.empty()) co_return text;
+      pg::addEmptyAnswer(empty);
+      pg::addReady(empty);
+      co_await s.write(empty, {});
+    }
   }
   static std::string row(std::string_view value, std::string_view load = {}) {
     std::string out;
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -57,6 +57,41 @@
   assert(pg::errorCode("") == "" && pg::errorCode("C53") == "" && pg::errorCode("\0"s) == "");
 }
 
+// The one answer due, cut anywhere; and what is told from it as early as the bytes show it.
+static void repliesHaveOneForm() {
+  const auto row = StandIn::row("value", "util=1");
+  const auto parts = [](std::string_view in) {
+    std::string out;
+    pg::Reply reply;
+    pg::Message m;
+    for (;;) {
+      const auto part = reply.next(in, m);
+      out += "-atdcezi!"[part];
+      if (part == pg::Reply::more || part == pg::Reply::bad) return out;
+      in.remove_prefix(m.size);
+    }
+  };
+  assert(parts(row) == "tdcaz-");
+  for (std::size_t n = 0; n < row.size(); ++n) assert(parts(row.substr(0, n)).back() == '-');
+  std::string error, wide, none, twice;
+  pg::addError(error, {"ERROR", "XX000", "no"});
+  assert(parts(error) == "e-" && parts(row + row) == "tdcaztdcaz-");
+  const auto at = row.find('D'), end = row.find('C', at);
+  assert(parts(row.substr(0, end) + row.substr(at)) == "td!"); // two rows
+  assert(parts(row.substr(at)) == "!" &&
+         parts(row.substr(0, at) + row.substr(end)) == "t!"); // none described
+  assert(parts("D") == "!" && parts("HTTP/1.1 200") == "!" && parts("Z\0\0\0\5I"s) == "!");
+  assert(parts(row.substr(0, at) + "D\xb2\xd0\x5e\0"s) == "t!"); // 3 GB, refused by its head
+  auto odd = row;
+  odd[at + 10] ^= 1; // the value's length
+  assert(parts(odd) == "t!");
+  assert(parts("E\0\0\0\6ab"s) == "!" && parts("E\0\0\0\5\0"s) == "!");
+  std::string notice, many;
+  pg::addMessage(notice, 'N', "x");
+  for (int i = 0; i < 40; ++i) many += notice;
+  assert(parts(many).back() == '!');
+}
+
 static void statementsAreRead() {
   const std::string sql = "SELECT v FROM records WHERE k = '7f3a9c21e0b4d655' /* id=9b1f,c=basket,d=480 */";
   const auto s = pg::parseStatement(sql);
@@ -189,13 +224,15 @@
   const auto &l = list->entries[0].listing;
   assert(l.mode == Mode::draining && l.zone == 1 && l.cell == 3 && l.build == 41 && l.start == 30 * kSec);
   assert(read(R"({"name":"s-1","status":"terminated"})"));
-  const auto old = read(R"({"name":"s-1","address":"1.2.3.4:5","status":"in_service","since_ms":5,"release":1})");
+  const auto old = read(
+      R"({"name":"s-1","address":"1.2.3.4:5","status":"in_service","since_ms":5,"release":1})");
   assert(old && old->entries[0].listing.start == 0); // before this machine's clock began
-  for (const auto *bad : {R"({"status":"in_service"})", R"({"name":"s","status":"odd"})", "7",
-                          R"({"name":"s","status":"in_service","release":1})",
-                          R"({"name":"s","address":"127.0.0.1:x","status":"in_service","release":1})",
-                          R"({"name":"s","address":"1.2.3.4:5","status":"in_service","release":-1})",
-                          R"({"name":"s","address":"1.2.3.4:5","status":"in_service","release":1,"since_ms":1e300})"})
+  for (const auto *bad :
+       {R"({"status":"in_service"})", R"({"name":"s","status":"odd"})", "7",
+        R"({"name":"s","status":"in_service","release":1})",
+        R"({"name":"s","address":"127.0.0.1:x","status":"in_service","release":1})",
+        R"({"name":"s","address":"1.2.3.4:5","status":"in_service","release":-1})",
+        R"({"name":"s","address":"1.2.3.4:5","status":"in_service","release":1,"since_ms":1e300})"})
     assert(!read(bad) && !error.empty());
   assert(!catalog::readList(*json::parse("{\"index\":-1}"), zones, 0, error));
 }
@@ -232,13 +269,16 @@
   const std::vector<std::string> names{"util", "queue"};
   const auto v = nodes::readLoads("queue=7,odd=1,util=0.5", names);
   assert(v.size() == 2 && v[0] == 0.5f && v[1] == 7.f);
-  assert(std::isnan(nodes::readLoads("util=,queue", names)[0]));
+  for (const auto *bad : {"util=,queue", "queue=7", "queue=nan,util=1", "queue=1,util=inf", "queue=-1,util=0",
+                          "queue=1e30,util=0", "%%%", ""})
+    assert(nodes::readLoads(bad, names).empty());
 }
 
 int main() {
   messagesAreCutAnywhere();
   openingsAreTold();
   errorsCarryTheirCode();
+  repliesHaveOneForm();
   statementsAreRead();
   otherStatementsAreToldApart();
   jsonIsStrict();
--- a/tests/tries_test.cpp
+++ b/tests/tries_test.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 using namespace myrtlehead;
+using namespace std::string_literals;
 
 static const std::string kSql = "SELECT v FROM records WHERE k = '7f' /* id=1,c=read,d=480 */";
 
@@ -83,8 +84,11 @@
     Ground cut(answers(row.substr(0, n), false));
     assert(cut.outcome() == Outcome::reset);
   }
-  Ground garbage(answers("HTTP/1.1 200 OK\r\n\r\n"));
-  assert(garbage.outcome() == Outcome::reset);
+  for (const auto &spoilt :
+       {"HTTP/1.1 200 OK\r\n\r\n"s, "D"s, row.substr(0, row.find('D')) + "D\x7f\0\0\0"s}) {
+    Ground garbage(answers(spoilt)); // it may have run, and is told before the try's time is up
+    assert(garbage.outcome() == Outcome::reset);
+  }
   Ground silent(answers(""));
   assert(silent.outcome(50 * kMs) == Outcome::timedOut);
   Ground errs(answers(refusal("XX000")));
@@ -102,6 +106,7 @@
     auto whole = StandIn::row("value");
     whole.resize(whole.size() - 6); // ReadyForQuery is ours to say
     assert(tried.answer == whole);
+    co_await g.loop.sched.sleep(5 * kMs); // for the empty query behind it
     const auto again = co_await g.ask();
     assert(again.outcome == Outcome::completed && g.node.accepted == 1);
   };
@@ -144,6 +149,35 @@
   relisted.loop.run(body());
 }
 
+// A second copy that comes behind an answer, at once or late, is never the next req's answer.
+static void aSecondCopyIsNobodysAnswer() {
+  for (const Ns late : {Ns{0}, 2 * kMs}) {
+    int n = 0;
+    auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+      if (!co_await StandIn::admit(s, b)) co_return;
+      while (!(co_await StandIn::query(s, b)).empty()) {
+        const auto row = StandIn::row(std::to_string(++n));
+        co_await s.write(row, {});
+        if (late > 0) co_await s.read(b, {}); // the empty query: the copy comes before its answer
+        co_await s.write(row, {});
+      }
+    };
+    Ground g(script);
+    auto body = [&]() -> sched::Task<> {
+      for (int i = 1; i <= 5; ++i) {
+        const auto tried = co_await g.ask();
+        assert(tried.outcome == Outcome::completed);
+        auto due = StandIn::row(std::to_string(i));
+        due.resize(due.size() - 6);
+        assert(tried.answer == due);
+        co_await g.loop.sched.sleep(i % 2 * 5 * kMs);
+      }
+      assert(g.node.accepted == 5);
+    };
+    g.loop.run(body());
+  }
+}
+
 // A ReadyForQuery that comes after the rest of the answer is waited for on the idle connection.
 static void aLateReadyIsRead() {
   const auto row = StandIn::row("value");
@@ -223,6 +257,7 @@
   anAnswerIsPassedOnWhole();
   theStatementGoesOnWithOurPatience();
   onlyCleanConnectionsAreUsedAgain();
+  aSecondCopyIsNobodysAnswer();
   aLateReadyIsRead();
   aNodeChangedDuringConnectGetsNothing();
   aTryThatIsCalledOffClosesItsConnection();
