Break off bad clients early, keep ids apart, let silent connections go first

At fault: session.cpp's limits of 10 s, partWith() reading all that came without a pause, one warning each; door.cpp closed the longest idle however short that was and never one that had not started; statement.cpp passed on any SELECT or INSERT. Ruled out by the log: no coroutine ended early, no descriptor lack of the machine. Tests: the silent are closed within 3 s and make room before that, open ids, 600 faults in order with two log lines at most, 60 MB announced are not read, statements in no form are refused. A new instance of the g++ 12 hazard was met: an awaited condition with an awaited call behind it never ran the call; named locals stand there now.

--- a/src/clients/door.cpp
+++ b/src/clients/door.cpp
@@ -12,6 +12,10 @@
 constexpr int kLast = 12;              // and one in so many is not even spent on refusing clients
 constexpr Ns kStillOpen = kSec / 2;    // after the wish to end: a front may send on for a while
 constexpr Ns kRetryAccept = kSec / 10; // where the machine has no descriptor left
+constexpr Ns kEarlyLeast = kSec / 10;  // for a startup message to come, before others may have the place
+constexpr Ns kIdleLeast = 2 * kSec;    // a connection without an open req may be closed after this
+constexpr Ns kIdleMost = 10 * kSec;    // and is, after this, or at once if it has never asked anything
+constexpr Ns kSweep = kSec / 4, kFaultSaid = kSec;
 
 net::Task<> session(Door &door, std::unique_ptr<net::Socket> socket, std::uint32_t number, bool stays) {
   Session session(door, std::move(socket), number);
@@ -27,8 +31,8 @@
       routeTimeouts_(std::move(routeTimeouts)), places_(std::max(places, 4 * pg::kMostBytes)),
       listener_(net::listenAt(sched, budget, listen)) {}
 
-// Guards the descriptors that nodes and control connections need: the longest idle client goes for a new one.
-// Where none is idle the new one is refused at once: in the backlog its req would wait for nobody.
+// Guards the descriptors that nodes and control connections need. Where nobody can be spared the new one is
+// refused at once: in the backlog its req would wait for nobody.
 bool Door::mayStay() {
   const bool enough = budget_.left() > budget_.most() / kKept;
   if (short_ ? budget_.left() > budget_.most() / (kKept - 1) : !enough) {
@@ -36,15 +40,44 @@
     log_.info(short_ ? "descriptors are short, idle clients are closed: " : "descriptors suffice again: ",
               budget_.left(), " left of ", budget_.most());
   }
-  if (enough) return true;
-  if (idle_.empty()) return false;
-  idle_.front()->stopIdling();
-  return true;
+  return enough || makeRoom();
+}
+
+// Guards the usual clients against connections that say nothing: those go first.
+bool Door::makeRoom() {
+  const auto spare = [&](std::list<Session *> &from, Ns least) {
+    if (from.empty() || sched_.now() - from.front()->since() < least) return false;
+    from.front()->stopIdling();
+    return true;
+  };
+  return spare(early_, kEarlyLeast) || spare(idle_, kIdleLeast);
+}
+
+// Guards descriptors and memory against clients that ask once, or never, and keep their connection.
+net::Task<> Door::sweep() {
+  for (;;) {
+    co_await sched_.sleep(kSweep);
+    for (auto it = idle_.begin(); it != idle_.end();) {
+      auto *session = *it++; // it may leave the list
+      const Ns idle = sched_.now() - session->since();
+      if (idle >= (session->hasAsked() ? kIdleMost : kIdleLeast)) session->stopIdling();
+    }
+  }
+}
+
+// Guards the log against clients that are wrong by the thousand.
+void Door::fault(std::string_view what) {
+  ++faults_;
+  if (sched_.now() - faultSaid_ < kFaultSaid) return;
+  log_.warning("clients sent ", faults_, " messages that can't be used, the latest: ", what);
+  faults_ = 0;
+  faultSaid_ = sched_.now();
 }
 
 net::Task<> Door::accept() {
   while (!noMore_.requested()) {
     if (budget_.left() <= budget_.most() / kLast) {
+      makeRoom();
       const net::Until soon{sched_.now() + kRetryAccept, &noMore_};
       co_await sched_.wait(budget_.freed, soon);
       continue;
@@ -58,7 +91,7 @@
       co_await listener_->readable(until);
     } else if (accepted.failure().cause == Cause::noDescriptor) {
       log_.warning("no descriptor left for a client");
-      if (!pool_.closeOldestIdle() && !idle_.empty()) idle_.front()->stopIdling();
+      if (!makeRoom()) pool_.closeOldestIdle();
       co_await sched_.sleep(kRetryAccept, &noMore_);
     } else {
       co_await sched_.sleep(kMs, &noMore_); // that client has gone already
--- a/src/clients/door.h
+++ b/src/clients/door.h
@@ -5,6 +5,8 @@
 #include "net/socket.h"
 #include "nodes/pool.h"
 
+#include <set>
+
 namespace myrtlehead::clients {
 
 class Door {
@@ -14,6 +16,7 @@
        std::size_t places);
 
   net::Task<> accept();
+  net::Task<> sweep(); // closes what has stood idle too long, for as long as the marshal lives
   // New connections and reqs are still taken for a while; then idle connections go, the others as they are
   // answered. Returns when none is left.
   net::Task<> close();
@@ -21,7 +24,9 @@
 
 private:
   friend class Session;
-  bool mayStay(); // whether a connection just accepted may
+  bool mayStay();  // whether a connection just accepted may
+  bool makeRoom(); // false: no connection can be spared
+  void fault(std::string_view what);
   net::Scheduler &sched_;
   net::Descriptors &budget_;
   Marshal &marshal_;
@@ -36,7 +41,11 @@
   bool short_ = false; // of descriptors
   std::uint32_t sessions_ = 0;
   std::list<class Session *> all_;
-  std::list<class Session *> idle_; // waiting for a req, the longest first
+  std::list<class Session *> early_;           // not yet started, or being parted with; the longest first
+  std::list<class Session *> idle_;            // waiting for a req; the longest first
+  std::set<std::string, std::less<>> openIds_; // of the reqs in hand
+  unsigned faults_ = 0;                        // of clients, since one was last logged
+  Ns faultSaid_ = 0;
   sched::Signal ended_;
 };
 
--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -10,86 +10,129 @@
 
 namespace {
 
-constexpr Ns kStartWithin = 10 * kSec;    // for the whole startup message to come
+constexpr Ns kStartWithin = 2 * kSec;     // for the whole startup message to come
+constexpr Ns kReadWithin = 2 * kSec;      // for the rest of a message that has begun
+constexpr Ns kFirstWithin = 5 * kSec / 2; // from its opening, for the first one of a connection
+constexpr Ns kWriteWithin = 5 * kSec;     // for a client to read an answer
+constexpr Ns kPartWithin = kSec;          // for a client to see that it is parted with
 constexpr std::size_t kSmall = 16 * 1024; // a message that needs no place of its own, a buffer that is kept
-constexpr Ns kReadWithin = 10 * kSec;     // for the rest of a message that has begun, and to read an answer
+constexpr unsigned kTurn = 32;            // messages, then other sessions have theirs
+constexpr Ns kMostRest = kSec / 10;
+constexpr int kPartedReads = 16, kEncryptions = 2;
 
-constexpr Ns kPartWithin = kSec; // for a client to see that it is parted with
-constexpr unsigned kTurn = 32;   // messages, then other sessions have theirs
+// An id is open while its req is in hand.
+struct OpenId {
+  std::set<std::string, std::less<>> &all;
+  const std::set<std::string, std::less<>>::iterator at;
+  ~OpenId() { all.erase(at); }
+};
 
 } // namespace
 
 Session::Session(Door &door, std::unique_ptr<net::Socket> socket, std::uint32_t number)
-    : door_(door), socket_(std::move(socket)), number_(number) {
+    : door_(door), socket_(std::move(socket)), number_(number), opened_(door.sched_.now()), since_(opened_) {
   inAll_ = door_.all_.insert(door_.all_.end(), this);
   socket_->onHangUp(&gone_);
 }
 
 Session::~Session() {
-  idle(false);
+  stand(busy);
   leavePlace();
   door_.all_.erase(inAll_);
   door_.ended_.notify();
 }
 
-void Session::idle(bool is) {
-  if (is == isIdle_) return;
-  isIdle_ = is;
-  if (is)
-    inIdle_ = door_.idle_.insert(door_.idle_.end(), this);
-  else
-    door_.idle_.erase(inIdle_);
+void Session::stand(Standing is) {
+  if (is == standing_) return;
+  if (standing_ != busy) (standing_ == early ? door_.early_ : door_.idle_).erase(inList_);
+  standing_ = is;
+  since_ = door_.sched_.now();
+  if (is == busy) return;
+  auto &list = is == early ? door_.early_ : door_.idle_;
+  inList_ = list.insert(list.end(), this);
 }
 
-net::Task<bool> Session::say(std::string_view bytes) {
-  const net::Until until{door_.sched_.now() + kReadWithin, &gone_};
-  co_return co_await socket_->write(bytes, until) == Cause::none;
+net::Task<bool> Session::flush() {
+  if (out_.empty()) co_return true;
+  const net::Until until{door_.sched_.now() + kWriteWithin, &gone_};
+  const auto cause = co_await socket_->write(out_, until);
+  out_.clear();
+  if (out_.capacity() > kSmall) std::string().swap(out_);
+  co_return cause == Cause::none;
 }
 
-net::Task<bool> Session::complain(const pg::Complaint &complaint, bool ready) {
-  std::string out;
-  pg::addError(out, complaint);
-  if (ready) pg::addReady(out);
-  co_return co_await say(out);
+void Session::complain(std::string_view code, std::string_view message, bool ready) {
+  ++faults_;
+  door_.fault(message);
+  pg::addError(out_, {"ERROR", code, message});
+  if (ready) pg::addReady(out_);
+}
+
+net::Task<> Session::breakOff(std::string_view message) {
+  door_.fault(message);
+  pg::addError(out_, {"FATAL", "08P01", message});
+  const bool written = co_await flush();
+  if (written) co_await partWith();
 }
 
 void Session::stopIdling() {
-  idle(false); // it is not asked twice
+  stand(busy); // it is not asked twice
   enough_.request();
+  if (parting_) gone_.request();
 }
 
 // Guards what was said last: closed with bytes unread, a connection is reset, and the client may not see it.
+// Little is read of what still comes, and nothing of 60 MB.
 net::Task<> Session::partWith() {
-  const net::Until until{door_.sched_.now() + kPartWithin, nullptr};
+  parting_ = true;
+  stand(early);
   socket_->endWriting();
-  for (auto cause = Cause::none; cause == Cause::none;) {
+  const net::Until until{door_.sched_.now() + kPartWithin, &gone_};
+  auto cause = Cause::none;
+  for (int n = 0; n < kPartedReads && cause == Cause::none; ++n) {
     buffer_.consume(buffer_.view().size());
     cause = co_await socket_->read(buffer_, until);
   }
+  if (cause == Cause::none) co_await door_.sched_.sleep(until.at - door_.sched_.now(), &gone_);
 }
 
 net::Task<> Session::run(bool stays) {
+  stand(early);
   const bool started = co_await startUp(stays ? kStartWithin : kPartWithin);
+  stand(busy);
   if (!started) co_return;
   if (!stays) {
-    co_await complain({"FATAL", "53300", "too many connections; trying again is harmless"}, false);
-    co_await partWith();
+    pg::addError(out_, {"FATAL", "53300", "too many connections; trying again is harmless"});
+    const bool written = co_await flush();
+    if (written) co_await partWith();
     co_return;
   }
   pg::Message message;
   for (unsigned n = 1; co_await nextMessage(message); ++n) {
-    if (n % kTurn == 0) co_await door_.sched_.sleep(0);
+    if (n % kTurn == 0) co_await rest();
     const auto size = message.size;
-    if (!co_await answer(message)) break;
+    const bool goesOn = co_await answer(message);
+    if (!goesOn) break;
     buffer_.consume(size);
     buffer_.shrink(kSmall);
     leavePlace();
+    bool written = true;
+    if (out_.size() > kSmall) written = co_await flush();
+    if (!written) break;
   }
+  co_await flush();
+}
+
+// Guards the other clients against one that sends what can't be used over and over: the more of it, the
+// longer it waits for its next turn.
+net::Task<> Session::rest() {
+  const Ns wait = std::min<Ns>(faults_ / kTurn * kMs, kMostRest);
+  co_await door_.sched_.sleep(wait, &gone_);
 }
 
 net::Task<bool> Session::startUp(Ns within) {
   const net::Until until{door_.sched_.now() + within, &enough_};
-  for (;;) {
+  for (int encryptions = 0;;) {
     pg::Startup startup;
     const auto parsed = pg::parseStartup(buffer_.view(), startup);
     if (parsed == pg::Parsed::more) {
@@ -98,23 +141,23 @@
       if (cause != Cause::none) co_return false;
       continue;
     }
-    if (parsed == pg::Parsed::bad || startup.kind == pg::Opening::unknown) {
-      door_.log_.warning("a client's startup message can't be read");
-      co_await complain({"FATAL", "08P01", "the startup message is not protocol 3"}, false);
-      co_await partWith();
+    if (parsed == pg::Parsed::bad || startup.kind == pg::Opening::unknown || encryptions > kEncryptions) {
+      co_await breakOff("the startup message is not protocol 3");
       co_return false;
     }
     if (startup.kind == pg::Opening::cancel) co_return false; // there is nothing to cancel by its key
     buffer_.consume(startup.size);
     if (startup.kind == pg::Opening::encryption) {
-      if (!co_await say("N")) co_return false;
+      ++encryptions;
+      out_ += 'N';
+      const bool written = co_await flush();
+      if (!written) co_return false;
       continue;
     }
-    std::string out;
-    if (startup.minor > 0) pg::addOldestMinor(out);
-    pg::addWelcome(out, number_, number_ * 2654435761u);
-    pg::addReady(out);
-    co_return co_await say(out);
+    if (startup.minor > 0) pg::addOldestMinor(out_);
+    pg::addWelcome(out_, number_, number_ * 2654435761u);
+    pg::addReady(out_);
+    co_return true;
   }
 }
 
@@ -124,27 +167,26 @@
     const auto parsed = pg::parseMessage(buffer_.view(), out);
     if (parsed == pg::Parsed::whole) co_return true;
     if (parsed == pg::Parsed::bad) {
-      door_.log_.warning("a client's message has an impossible length");
-      co_await complain({"FATAL", "08P01", "a message with an impossible length"}, false);
-      co_await partWith();
+      co_await breakOff("a message with an impossible length");
       co_return false;
     }
+    const bool written = co_await flush();
+    if (!written) co_return false;
+    if (faults_ >= kTurn) co_await rest();
     const bool between = buffer_.empty();
-    if (!between && begun == 0) begun = door_.sched_.now();
-    if (!between && !co_await takePlace(begun + kReadWithin)) co_return false;
-    idle(between);
-    const net::Until until = between ? net::Until{sched::kNever, &enough_}
-                                     : net::Until{begun + kReadWithin, nullptr};
+    if (!between && begun == 0) begun = asked_ ? door_.sched_.now() + kReadWithin : opened_ + kFirstWithin;
+    if (!between && !co_await takePlace(begun)) co_return false;
+    stand(between ? idle : busy);
+    const net::Until until = between ? net::Until{sched::kNever, &enough_} : net::Until{begun, nullptr};
     auto cause = co_await socket_->read(buffer_, until);
-    idle(false);
+    stand(busy);
     // Guards the req that has crossed our wish to close.
     if (cause == Cause::stopped) cause = socket_->readNow(buffer_);
+    if (cause == Cause::timedOut && !between) co_await breakOff("a message that does not end");
     if (cause != Cause::none) co_return false;
   }
 }
 
-// Guards the memory against many large messages at once: each has its place before it is read on. Could harm
-// where a client sends slowly: it is cut off in time.
 net::Task<bool> Session::takePlace(Ns latest) {
   const auto size = pg::announcedSize(buffer_.view());
   if (size <= kSmall || place_ > 0) co_return true;
@@ -168,22 +210,20 @@
   if (skipping_ && message.type != 'S' && message.type != 'X') co_return true;
   if (kExtended.find(message.type) != std::string_view::npos) {
     skipping_ = message.type != 'F'; // a function call is answered at once
-    co_return co_await complain({"ERROR", "0A000", "only simple queries are served here"}, !skipping_);
+    complain("0A000", "only simple queries are served here", !skipping_);
+    co_return true;
   }
   switch (message.type) {
   case 'Q': {
     std::string_view body = message.body, sql;
     if (pg::takeText(body, sql) && body.empty()) co_return co_await query(sql);
-    door_.log_.warning("a client's query does not end as it should");
-    co_await complain({"FATAL", "08P01", "a query without its closing zero"}, false);
-    co_await partWith();
+    co_await breakOff("a query without its closing zero");
     co_return false;
   }
   case 'S': {
     skipping_ = false;
-    std::string out;
-    pg::addReady(out);
-    co_return co_await say(out);
+    pg::addReady(out_);
+    co_return true;
   }
   case 'd':
   case 'c':
@@ -192,53 +232,60 @@
   case 'X':
     co_return false;
   }
-  door_.log_.warning("a client sent a message of unknown type ", static_cast<int>(message.type));
-  co_await complain({"FATAL", "08P01", "a message of unknown type"}, false);
-  co_await partWith();
+  co_await breakOff("a message of unknown type");
   co_return false;
 }
 
 net::Task<bool> Session::query(std::string_view sql) {
-  auto statement = pg::parseStatement(sql);
-  std::string out;
+  const auto statement = pg::parseStatement(sql);
   switch (statement.kind) {
   case pg::Statement::req: {
     const auto &routes = door_.routes_;
     const auto at = std::find(routes.begin(), routes.end(), statement.route);
     if (at != routes.end()) co_return co_await serve(statement, static_cast<int>(at - routes.begin()));
-    statement.complaint = "the comment names an unknown route";
-    [[fallthrough]];
+    complain(statement.code, "the comment names an unknown route");
+    co_return true;
   }
   case pg::Statement::malformed:
-    door_.log_.warning("a statement was not passed on: ", statement.complaint);
-    co_return co_await complain({"ERROR", statement.code, statement.complaint});
+    complain(statement.code, statement.complaint);
+    co_return true;
   case pg::Statement::empty:
-    pg::addEmptyAnswer(out);
+    pg::addEmptyAnswer(out_);
     break;
   case pg::Statement::ping:
-    pg::addRow(out, "?column?", "1");
-    pg::addComplete(out, "SELECT 1");
+    pg::addRow(out_, "?column?", "1");
+    pg::addComplete(out_, "SELECT 1");
     break;
   case pg::Statement::session: {
     std::string tag(statement.verb);
     std::transform(tag.begin(), tag.end(), tag.begin(),
                    [](char c) { return static_cast<char>(c - 'a' + 'A'); });
-    pg::addComplete(out, tag == "DISCARD" ? "DISCARD ALL" : tag);
+    pg::addComplete(out_, tag == "DISCARD" ? "DISCARD ALL" : tag);
     break;
   }
   }
-  pg::addReady(out);
-  co_return co_await say(out);
+  pg::addReady(out_);
+  asked_ = true;
+  co_return true;
 }
 
 net::Task<bool> Session::serve(const pg::Statement &statement, int route) {
+  // Guards the client that uses the id rightly: two answers to one id could be told apart by nobody.
+  const auto [at, first] = door_.openIds_.emplace(statement.id);
+  if (!first) {
+    complain("42710", "another req with this id is open");
+    co_return true;
+  }
+  const OpenId open{door_.openIds_, at};
+  asked_ = true;
+  const bool written = co_await flush();
+  if (!written) co_return false;
   auto &marshal = door_.marshal_;
   const Ns patience = std::min(statement.patienceMs * kMs,
                                door_.routeTimeouts_[static_cast<std::size_t>(route)]);
   const Ns taken = door_.sched_.now();
   Call call(route, statement.key, patience, statement.repeat, taken);
   auto choice = co_await marshal.pick(call, gone_);
-  std::string out;
   while (choice.what == Choice::send) {
     const net::Until until{choice.until, &gone_};
     auto *target = choice.target;
@@ -249,7 +296,7 @@
     if (!tried.loads.empty()) marshal.load(*target, tried.loads);
     if (gone_.requested()) marshal.left(call);
     choice = marshal.report(call, tried.outcome);
-    if (tried.outcome == Outcome::completed) out = std::move(tried.answer);
+    if (tried.outcome == Outcome::completed) out_ = std::move(tried.answer);
   }
   if (gone_.requested()) {
     marshal.left(call);
@@ -260,12 +307,12 @@
                      (door_.sched_.now() - taken) / kMs, " ms");
   if (choice.what == Choice::shed) {
     const auto pause = choice.retryAfter > 0 ? std::to_string(choice.retryAfter / kMs) : "";
-    pg::addError(out, {"ERROR", "53300", "too busy; trying again is harmless", pause});
+    pg::addError(out_, {"ERROR", "53300", "too busy; trying again is harmless", pause});
   } else if (choice.what == Choice::fail) {
-    pg::addError(out, {"ERROR", "XX000", "no answer could be had; it may have run"});
+    pg::addError(out_, {"ERROR", "XX000", "no answer could be had; it may have run"});
   }
-  pg::addReady(out);
-  co_return co_await say(out);
+  pg::addReady(out_);
+  co_return co_await flush();
 }
 
 } // namespace myrtlehead::clients
--- a/src/clients/session.h
+++ b/src/clients/session.h
@@ -16,19 +16,24 @@
 
   net::Task<> run(bool stays); // if not, it is refused: there is no descriptor to spare
   void stopIdling();           // it may be closed now, being between reqs
+  Ns since() const { return since_; }
+  bool hasAsked() const { return asked_; }
 
 private:
+  enum Standing { early, idle, busy };
+  void stand(Standing is);
   net::Task<bool> startUp(Ns within);
   net::Task<> partWith();
   net::Task<bool> nextMessage(pg::Message &out);
+  net::Task<> rest();
   net::Task<bool> takePlace(Ns latest);
   void leavePlace();
   net::Task<bool> answer(pg::Message message);
   net::Task<bool> query(std::string_view sql);
   net::Task<bool> serve(const pg::Statement &statement, int route);
-  net::Task<bool> say(std::string_view bytes);
-  net::Task<bool> complain(const pg::Complaint &complaint, bool ready = true);
-  void idle(bool is);
+  net::Task<bool> flush();
+  void complain(std::string_view code, std::string_view message, bool ready = true);
+  net::Task<> breakOff(std::string_view message); // an error that ends the connection
 
   Door &door_;
   std::unique_ptr<net::Socket> socket_;
@@ -37,8 +42,12 @@
   sched::Stop gone_;      // the client has closed its end
   sched::Stop enough_;    // the marshal wants the connection back
   bool skipping_ = false; // an extended-protocol error: all is skipped up to Sync
-  std::list<Session *>::iterator inAll_, inIdle_;
-  bool isIdle_ = false;
+  std::list<Session *>::iterator inAll_, inList_;
+  Standing standing_ = busy;
+  Ns opened_, since_; // when it was opened, and when it came to stand as it does
+  bool asked_ = false, parting_ = false;
+  unsigned faults_ = 0;
+  std::string out_;       // answers not yet written
   std::size_t place_ = 0; // bytes that its large message has of the door's
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -147,6 +147,7 @@
     sched.spawn(datagrams->receive());
   }
   sched.spawn(door.accept());
+  sched.spawn(door.sweep());
   Wish wish;
   const Movable parts{path, station, watch, desk};
   sched.spawn(takeUp(sched, parts, wish, log));
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -1,5 +1,6 @@
 #include "pg/statement.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -30,6 +31,7 @@
   bool whole = true;        // every string and comment is closed
   bool several = false;     // something stands behind a semicolon
   std::string_view comment; // the last one that is /* */
+  int comments = 0;         // of any kind
   std::string_view literal; // the first in single quotes
   std::string words;        // what is outside of comments, blanks folded
 };
@@ -70,6 +72,9 @@
   for (std::size_t i = 0; i < sql.size();) {
     auto end = i + 1;
     const auto pair = sql.substr(i, 2);
+    const bool remark = pair == "--" || pair == "/*";
+    out.comments += remark;
+    if (remark && !out.words.empty() && out.words.back() != ' ') out.words += ' ';
     if (pair == "--") {
       end = std::min(sql.find('\n', i), sql.size());
     } else if (pair == "/*") {
@@ -119,9 +124,50 @@
   return !text.empty() && r.ec == std::errc{} && r.ptr == text.data() + text.size();
 }
 
+constexpr std::size_t kMostName = 128; // of an id, a route or a key
+
+// What ids, routes and keys are made of: nothing that could end a comment or a log line.
+bool plain(std::string_view text) {
+  constexpr std::string_view kOther = "_-.:";
+  return !text.empty() && text.size() <= kMostName && std::all_of(text.begin(), text.end(), [&](char c) {
+    return (lower(c) >= 'a' && lower(c) <= 'z') || (c >= '0' && c <= '9') || kOther.find(c) != kOther.npos;
+  });
+}
+
+// The next word of a statement without comments: a name, a string in quotes, or a single other byte.
+std::string_view takeWord(std::string_view &in) {
+  in = trimmed(in);
+  if (in.empty()) return {};
+  const auto inName = [](char c) {
+    return (lower(c) >= 'a' && lower(c) <= 'z') || (c >= '0' && c <= '9') || c == '_';
+  };
+  std::size_t end = 1;
+  if (in[0] == '\'')
+    end = pastString(in, 0);
+  else if (inName(in[0]))
+    while (end < in.size() && inName(in[end])) ++end;
+  const auto word = in.substr(0, end);
+  in.remove_prefix(word.size());
+  return word;
+}
+
+// Whether `words` go by `form`, in which % stands for a name and $ for a string.
+bool goesBy(std::string_view form, std::string_view words) {
+  for (auto want = takeWord(form); !want.empty(); want = takeWord(form)) {
+    const auto word = takeWord(words);
+    if (word.empty()) return false;
+    const char first = word[0];
+    const bool fits = want == "%"   ? lower(first) >= 'a' && lower(first) <= 'z'
+                      : want == "$" ? first == '\''
+                                    : same(word, want);
+    if (!fits) return false;
+  }
+  return trimmed(words).empty();
+}
+
 // name=value, separated by commas. False where a name comes twice, is empty, or a value can't be read.
 bool parseComment(std::string_view comment, Statement &s) {
-  bool id = false, route = false, patience = false;
+  bool id = false, route = false, patience = false, key = false;
   for (auto rest = trimmed(comment);;) {
     const auto comma = std::min(rest.find(','), rest.size());
     const auto item = trimmed(rest.substr(0, comma));
@@ -129,16 +175,18 @@
     if (eq == std::string_view::npos || eq == 0) return false;
     const auto name = item.substr(0, eq), value = item.substr(eq + 1);
     if (name == "id") {
-      if (std::exchange(id, true) || value.empty()) return false;
+      if (std::exchange(id, true) || !plain(value)) return false;
       s.id = value;
     } else if (name == "c") {
-      if (std::exchange(route, true)) return false;
+      if (std::exchange(route, true) || !plain(value)) return false;
       s.route = value;
     } else if (name == "d") {
       if (std::exchange(patience, true) || !parseNumber(value, s.patienceMs)) return false;
       if (s.patienceMs < 0 || s.patienceMs > kMostPatienceMs) return false;
       s.patienceAt = static_cast<std::size_t>(value.data() - s.text.data());
       s.patienceSize = value.size();
+    } else if (name == "k") {
+      if (std::exchange(key, true) || !plain(value)) return false;
     } else if (name == "r") {
       s.repeat = value == "1";
     }
@@ -190,10 +238,13 @@
     s.kind = Statement::ping;
     return s;
   }
-  if (!same(verb, "select") && !same(verb, "insert"))
-    return malformed(s, "0A000", "only SELECT, INSERT, SET, RESET and DISCARD are served here");
-  if (parts.comment.data() == nullptr)
-    return malformed(s, "42601", "a statement needs the comment /* id=...,c=...,d=... */");
+  // Guards the nodes, which close on what they can't read: only these two forms are passed on.
+  if (!goesBy("select % from % where % = $", words) &&
+      !goesBy("insert into % (%, %) values ($, $) returning %", words))
+    return malformed(s, "0A000",
+                     "only the SELECT and INSERT of one record, SET, RESET and DISCARD are served");
+  if (parts.comment.data() == nullptr || parts.comments != 1)
+    return malformed(s, "42601", "a statement needs one comment: /* id=...,c=...,d=... */");
   if (!parseComment(parts.comment, s))
     return malformed(s, "42601", "the comment must hold id, c and d once each, d in whole milliseconds");
   s.kind = Statement::req;
