Forget a node's former life: its outcomes, reports and place

In the module only the condition before health() is new, no line more. Tests: a former life's resets are no strikes, its report is not believed, a place that nobody has named for two minutes is used again.

--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -293,7 +293,7 @@
                                               [&] { return marshal.stillMeant(call); });
     door_.log_.debug("try at ", target->name, ": ", word(tried.outcome), ", load fields ",
                      tried.loads.size());
-    if (!tried.loads.empty()) marshal.load(*target, tried.loads);
+    if (!tried.loads.empty()) marshal.load(call, tried.loads);
     if (gone_.requested()) marshal.left(call);
     choice = marshal.report(call, tried.outcome);
     if (tried.outcome == Outcome::completed) out_ = std::move(tried.answer);
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -278,7 +278,7 @@
   t.node->quietSince = now;
   s.finished += outcome == Outcome::completed || outcome == Outcome::errored; // others bear no work away
   if (t.sent >= s.deafUntil) {
-    health(*t.node, outcome, took, now);
+    if (t.sent >= t.node->listing.start) health(*t.node, outcome, took, now); // else: of its former life
     learnTypical(routeOf(rq), outcome, took);
     judge(rq, t, outcome, took, now);
   }
--- a/src/marshal/marshal.cpp
+++ b/src/marshal/marshal.cpp
@@ -1,7 +1,13 @@
 #include "marshal/marshal.h"
 
+#include <algorithm>
+
 namespace myrtlehead {
 
+namespace {
+constexpr Ns kForgotten = 120 * kSec; // twice the longest route timeout that a configuration leaves out
+}
+
 Call::Call(int route, std::uint64_t key, Ns patience, bool repeat, Ns now) {
   rq_.route = route;
   rq_.key = key;
@@ -59,8 +65,10 @@
 
 void Marshal::left(Call &call) { guard_.gone(call.rq_); }
 
-void Marshal::load(const Target &target, const std::vector<float> &values) {
-  guard_.loadReport(*target.node, values, now());
+// Guards a node's new life against a report of its former one.
+void Marshal::load(const Call &call, const std::vector<float> &values) {
+  const auto *t = call.target_;
+  if (t != nullptr && t->changes == call.changes_) guard_.loadReport(*t->node, values, now());
 }
 
 sched::Task<> Marshal::listWanted() {
@@ -68,29 +76,47 @@
   listWanted_ = false;
 }
 
+// Guards memory against node names that are ever new: a place that no list has named for longer than any req
+// lasts, and that no try is out at, is taken for the next name.
+Target &Marshal::known(const std::string &name) {
+  auto &place = byName_[name];
+  if (place != nullptr) return *place;
+  const auto free = std::find_if(targets_.begin(), targets_.end(), [&](const Target &t) {
+    return !t.listed && t.node->inflight == 0 && now() - t.namedAt >= kForgotten;
+  });
+  if (free != targets_.end()) {
+    place = &*free;
+    byName_.erase(place->name);
+    *place->node = Node{};
+    ++place->changes;
+  } else {
+    place = &targets_.emplace_back();
+    place->index = targets_.size() - 1;
+    place->node = &guard_.newNode();
+    byNode_[place->node] = place;
+  }
+  place->name = name;
+  place->node->door = place->index;
+  place->namedAt = now();
+  return *place;
+}
+
 void Marshal::listed(const std::vector<Entry> &entries, bool whole, bool saved) {
   for (const auto &e : entries) {
-    auto &known = byName_[e.name];
-    if (known == nullptr) {
-      known = &targets_.emplace_back();
-      known->name = e.name;
-      known->index = targets_.size() - 1;
-      known->node = &guard_.newNode();
-      known->node->door = known->index;
-      byNode_[known->node] = known;
-    }
-    const auto &was = known->node->listing;
+    auto &t = known(e.name);
+    const auto &was = t.node->listing;
     const auto &is = e.listing;
-    if (!known->listed || was.build != is.build || was.start != is.start || was.mode != is.mode ||
-        known->address != e.address)
-      ++known->changes;
-    known->address = e.address;
-    guard_.listed(*known->node, is, now());
+    if (!t.listed || was.build != is.build || was.start != is.start || was.mode != is.mode ||
+        t.address != e.address)
+      ++t.changes;
+    t.address = e.address;
+    guard_.listed(*t.node, is, now());
   }
   guard_.listComplete(whole, saved, now());
   for (auto &t : targets_) {
     if (t.listed && !t.node->named) ++t.changes; // left out of a whole list
     t.listed = t.node->named;
+    if (t.listed) t.namedAt = now();
   }
   round();
 }
--- a/src/marshal/marshal.h
+++ b/src/marshal/marshal.h
@@ -17,6 +17,7 @@
   std::size_t index = 0;     // in the order of first listing
   std::uint64_t changes = 0; // grows with each change of its build, start, mode or address
   bool listed = false;       // named by the list, and ready
+  Ns namedAt = 0;            // when it was last named as ready, or was first met
   Node *node = nullptr;
 };
 
@@ -55,7 +56,7 @@
   Choice report(Call &call, Outcome outcome);              // of the try that was out
   bool stillMeant(const Call &call) const; // whether list and news stand as when the try was picked
   void left(Call &call);                   // the client has gone away
-  void load(const Target &target, const std::vector<float> &values);
+  void load(const Call &call, const std::vector<float> &values); // as reported with the try that is out
 
   // The node list.
   sched::Task<> listWanted(); // returns when a subscription is to be asked for
@@ -77,6 +78,7 @@
 
 private:
   Choice carryOut(Call &call, const Step &step);
+  Target &known(const std::string &name);
   void round();
   Ns now() const { return sched_.now(); }
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -86,6 +86,38 @@
   loop.run(body());
 }
 
+// A report that came with a try at a node's former life says nothing of its new one; and names that come and
+// go for good take up no more places.
+static void aFormerLifeIsForgotten() {
+  Loop loop;
+  auto d = smallDeployment();
+  d.loadFields = {LoadField::waiting};
+  Marshal marshal(loop.sched, d, 7, loop.log);
+  marshal.news({1, 2, Phase::released, 1, 0});
+  const auto list = [&](const std::string &name, int build) {
+    marshal.listed({{name, "127.0.0.1:9", {.build = build}}}, true, false);
+    return marshal.find(name);
+  };
+  const auto *first = list("s-1", 1);
+  auto body = [&]() -> sched::Task<> {
+    sched::Stop stop;
+    Call call(0, 0, kSec, false, loop.sched.now());
+    assert((co_await marshal.pick(call, stop)).what == Choice::send);
+    marshal.load(call, {7});
+    assert(first->node->reported == 7);
+    list("s-1", 2);
+    list("s-1", 1);
+    marshal.load(call, {9});
+    assert(first->node->reported == 0);
+    list("s-2", 1);
+    assert(marshal.find("s-1") == first); // it may come back soon
+    marshal.report(call, Outcome::reset);
+    marshal.find("s-1")->namedAt -= 200 * kSec;
+    assert(list("s-3", 1) == first && marshal.find("s-1") == nullptr && first->node->strikes == 0);
+  };
+  loop.run(body());
+}
+
 static void aHeldReqGoesOutOnceANodeIsListed() {
   Loop loop;
   Marshal marshal(loop.sched, smallDeployment(), 7, loop.log);
@@ -425,6 +457,7 @@
 
 int main() {
   aTryIsOnlyMeantWhileListAndNewsStand();
+  aFormerLifeIsForgotten();
   aHeldReqGoesOutOnceANodeIsListed();
   theWatchIsFollowedAndAskedForAgain();
   theWatchMovesWithoutAGap();
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -33,6 +33,17 @@
   assert(back);
 }
 
+// What its former life leaves unanswered is not held against a node that came back with another build.
+static void aFormerLifeIsNotHeldAgainstANode() {
+  Bed bed(smallDeployment(), 4);
+  for (int i = 0; i < 3; ++i) {
+    Req rq = bed.triedAt(bed.node(0), 0, true);
+    bed.guard.listed(bed.node(0), {.build = 1, .start = kNow + kMs}, kNow + kMs);
+    bed.guard.after(rq, 0, Outcome::reset, kMs, false, kNow + 2 * kMs);
+  }
+  assert(bed.node(0).strikes == 0 && bed.node(0).restUntil == 0 && bed.node(0).failShare == 0);
+}
+
 static void restsSpareAFleetThatFailsTogether() { // found on the first incidents
   Bed bed;
   bed.node(0).failShare = bed.node(1).failShare = 0.5;
@@ -158,9 +169,10 @@
 
 int main() {
   for (auto *test :
-       {twoChoicesTakeTheLessLoaded, failingNodeRestsAndComesBack, restsSpareAFleetThatFailsTogether,
-        silentNodeIsPassedOver, crowdedTrialIsPassedOver, overloadShedsLowImportanceFirst,
-        tenantsBeyondTheirShareAreShedFirst, sheddingEndsWithTheTrouble, timeOutsDoNotHideOverload,
-        ownStandstillIsNoNodesFault, lostSubscriptionIsAskedForAgain, longWaysAreLeftToOneReqInTwenty})
+       {twoChoicesTakeTheLessLoaded, aFormerLifeIsNotHeldAgainstANode, failingNodeRestsAndComesBack,
+        restsSpareAFleetThatFailsTogether, silentNodeIsPassedOver, crowdedTrialIsPassedOver,
+        overloadShedsLowImportanceFirst, tenantsBeyondTheirShareAreShedFirst, sheddingEndsWithTheTrouble,
+        timeOutsDoNotHideOverload, ownStandstillIsNoNodesFault, lostSubscriptionIsAskedForAgain,
+        longWaysAreLeftToOneReqInTwenty})
     test();
 }
