Pass on rows of up to 4 MB, each with its place in memory

A probe (the bytes of answers held to be unreadable, since removed) showed 4,128 rows of 290 to 370 KB: well formed, above the limit of 256 KB that clients' messages have. Test: a row of 3 MB passes, another waits while it is held, 5 MB announced are refused.

--- a/src/clients/door.h
+++ b/src/clients/door.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "marshal/marshal.h"
+#include "net/places.h"
 #include "net/socket.h"
 #include "nodes/pool.h"
 
@@ -34,8 +35,7 @@
   log::Log &log_;
   std::vector<std::string> routes_;
   std::vector<Ns> routeTimeouts_;
-  std::size_t places_; // bytes left for large messages
-  sched::Signal placeLeft_;
+  net::Places places_; // for large messages
   std::unique_ptr<net::Socket> listener_;
   sched::Stop noMore_; // ends accept()
   bool short_ = false; // of descriptors
--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -37,7 +37,6 @@
 
 Session::~Session() {
   stand(busy);
-  leavePlace();
   door_.all_.erase(inAll_);
   door_.ended_.notify();
 }
@@ -115,7 +114,7 @@
     if (!goesOn) break;
     buffer_.consume(size);
     buffer_.shrink(kSmall);
-    leavePlace();
+    place_.leave();
     bool written = true;
     if (out_.size() > kSmall) written = co_await flush();
     if (!written) break;
@@ -189,22 +188,14 @@
 
 net::Task<bool> Session::takePlace(Ns latest) {
   const auto size = pg::announcedSize(buffer_.view());
-  if (size <= kSmall || place_ > 0) co_return true;
+  if (size <= kSmall || place_.held()) co_return true;
   const net::Until until{latest, &gone_};
-  while (door_.places_ < size)
-    if (co_await door_.sched_.wait(door_.placeLeft_, until) != sched::Woken::signalled) co_return false;
-  door_.places_ -= size;
-  place_ = size;
+  const bool taken = co_await net::Place::take(door_.sched_, door_.places_, size, until, place_);
+  if (!taken) co_return false;
   buffer_.room(size + kSmall - buffer_.view().size()); // once, for all that comes
   co_return true;
 }
 
-void Session::leavePlace() {
-  if (place_ == 0) return;
-  door_.places_ += std::exchange(place_, 0);
-  door_.placeLeft_.notify();
-}
-
 net::Task<bool> Session::answer(pg::Message message) {
   constexpr std::string_view kExtended = "PBDECHF";
   if (skipping_ && message.type != 'S' && message.type != 'X') co_return true;
@@ -285,6 +276,7 @@
                                door_.routeTimeouts_[static_cast<std::size_t>(route)]);
   const Ns taken = door_.sched_.now();
   Call call(route, statement.key, patience, statement.repeat, taken);
+  net::Place large; // the answer's, until it is written
   auto choice = co_await marshal.pick(call, gone_);
   while (choice.what == Choice::send) {
     const net::Until until{choice.until, &gone_};
@@ -296,7 +288,7 @@
     if (!tried.loads.empty()) marshal.load(call, tried.loads);
     if (gone_.requested()) marshal.left(call);
     choice = marshal.report(call, tried.outcome);
-    if (tried.outcome == Outcome::completed) out_ = std::move(tried.answer);
+    if (tried.outcome == Outcome::completed) out_ = std::move(tried.answer), large = std::move(tried.place);
   }
   if (gone_.requested()) {
     marshal.left(call);
--- a/src/clients/session.h
+++ b/src/clients/session.h
@@ -27,7 +27,6 @@
   net::Task<bool> nextMessage(pg::Message &out);
   net::Task<> rest();
   net::Task<bool> takePlace(Ns latest);
-  void leavePlace();
   net::Task<bool> answer(pg::Message message);
   net::Task<bool> query(std::string_view sql);
   net::Task<bool> serve(const pg::Statement &statement, int route);
@@ -47,8 +46,8 @@
   Ns opened_, since_; // when it was opened, and when it came to stand as it does
   bool asked_ = false, parting_ = false;
   unsigned faults_ = 0;
-  std::string out_;       // answers not yet written
-  std::size_t place_ = 0; // bytes that its large message has of the door's
+  std::string out_;  // answers not yet written
+  net::Place place_; // of its large message
 };
 
 } // namespace myrtlehead::clients
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -121,7 +121,8 @@
   catalog::Watch watch(sched, budget, marshal, log, station.discovery, station.zones,
                        unixAtZero(sched.now()));
   platform::Desk desk(sched, budget, marshal, log, station.platform, station.routes, station.callWithin);
-  nodes::Pool pool(sched, budget, log, station.connectWithin, station.idleAtMost, station.loadNames);
+  nodes::Pool pool(sched, budget, log, station.connectWithin, station.idleAtMost, station.loadNames,
+                   station.memory / 8); // what a large answer takes in all is below three times it
   net::Socket signals(sched, budget, signalDescriptor());
   std::unique_ptr<peers::Datagrams> datagrams;
   if (station.deployment.peers)
--- a/src/nodes/pool.cpp
+++ b/src/nodes/pool.cpp
@@ -14,8 +14,9 @@
 
 namespace {
 
-constexpr int kControlShare = 16; // descriptors kept for calls on discovery and the platform
-constexpr Ns kSettled = kSec;     // for what is due behind an answer to come
+constexpr int kControlShare = 16;         // descriptors kept for calls on discovery and the platform
+constexpr std::size_t kSmall = 16 * 1024; // an answer that needs no place of its own, a buffer that is kept
+constexpr Ns kSettled = kSec;             // for what is due behind an answer to come
 
 // The next message of a connection, at the front of its buffer until it is consumed.
 net::Task<Failure> nextMessage(net::Socket &socket, net::Buffer &buffer, net::Until until, Reach reach,
@@ -138,6 +139,13 @@
     pg::Message m;
     const auto part = c.reply.next(c.buffer.view(), m);
     if (part == pg::Reply::more) {
+      const auto size = pg::announcedSize(c.buffer.view());
+      if (size > kSmall && !out.place.held()) {
+        const bool taken = co_await net::Place::take(sched_, large_, size, until, out.place);
+        if (!taken) co_return Failure{Cause::timedOut, Reach::answering};
+        c.buffer.room(size + kSmall - c.buffer.view().size()); // once, for all that comes
+        out.answer.reserve(size + kHead);
+      }
       const auto cause = co_await c.socket->read(c.buffer, until);
       if (cause != Cause::none) co_return Failure{cause, any ? Reach::answering : Reach::writtenWhole};
       any = true;
@@ -154,6 +162,7 @@
     over = part == pg::Reply::complete || part == pg::Reply::error;
     c.buffer.consume(m.size);
   }
+  c.buffer.shrink(kSmall);
   // The load report stands between the answer and ReadyForQuery. What has not come along is read later.
   fence(c);
   settle(c, &out);
@@ -203,6 +212,7 @@
     settle(c, nullptr);
   }
   if (cause != Cause::timedOut) return useless;
+  c.buffer.shrink(kSmall);
   if (c.spoilt || (c.due == 0 && !c.buffer.empty())) return useless;
   return c.due > 0 ? unsettled : usable;
 }
@@ -228,7 +238,7 @@
   place.target = &target;
   if (c->changes != target.changes || !target.listed) return;
   c->idleSince = sched_.now();
-  c->buffer.shrink(16 * 1024);
+  c->buffer.shrink(kSmall);
   place.idle.push_back(std::move(c));
 }
 
--- a/src/nodes/pool.h
+++ b/src/nodes/pool.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "marshal/marshal.h"
+#include "net/places.h"
 #include "net/socket.h"
 #include "pg/message.h"
 #include "pg/statement.h"
@@ -17,6 +18,7 @@
   Outcome outcome = Outcome::unreachable;
   std::string answer;       // completed: the row as the node wrote it, to be passed on
   std::vector<float> loads; // the node's load report, in the order of the deployment's fields
+  net::Place place;         // of a large answer, until it has been passed on
 };
 
 // From how far the attempt had come to what that proves.
@@ -28,9 +30,9 @@
 class Pool {
 public:
   Pool(net::Scheduler &sched, net::Descriptors &budget, log::Log &log, Ns connectWithin, Ns idleAtMost,
-       std::vector<std::string> loadNames)
+       std::vector<std::string> loadNames, std::size_t places)
       : sched_(sched), budget_(budget), log_(log), connectWithin_(connectWithin), idleAtMost_(idleAtMost),
-        loadNames_(std::move(loadNames)) {}
+        loadNames_(std::move(loadNames)), large_(std::max(places, pg::kMostRow + kHead)) {}
 
   // `meant`: asked right before the statement is written to a new connection; false: it is not sent.
   net::Task<Tried> attempt(const Target &target, const pg::Statement &statement, net::Until until,
@@ -39,6 +41,7 @@
   bool closeOldestIdle(); // to free a descriptor
 
 private:
+  static constexpr std::size_t kHead = 1024; // of an answer, beside its row
   struct Connection {
     std::unique_ptr<net::Socket> socket;
     net::Buffer buffer;
@@ -67,6 +70,7 @@
   log::Log &log_;
   Ns connectWithin_, idleAtMost_;
   std::vector<std::string> loadNames_;
+  net::Places large_;    // room for large answers
   bool lacking_ = false; // a report has lacked a field
   struct Place {
     const Target *target = nullptr;
--- a/src/pg/message.cpp
+++ b/src/pg/message.cpp
@@ -26,10 +26,10 @@
 
 } // namespace
 
-Parsed parseMessage(std::string_view in, Message &out) {
+Parsed parseMessage(std::string_view in, Message &out, std::size_t most) {
   if (in.size() < 5) return Parsed::more;
   const std::size_t length = number(in.substr(1));
-  if (length < 4 || length > kMostBytes) return Parsed::bad;
+  if (length < 4 || length > most) return Parsed::bad;
   if (in.size() < length + 1) return Parsed::more;
   out = {in[0], in.substr(5, length - 4), length + 1};
   return Parsed::whole;
@@ -100,7 +100,7 @@
 }
 
 std::size_t mostOf(Reply::Part part) {
-  if (part == Reply::row) return kMostBytes;
+  if (part == Reply::row) return kMostRow;
   return part == Reply::complete || part == Reply::ready || part == Reply::empty ? kMostTag : kMostSmall;
 }
 
@@ -152,7 +152,7 @@
   if (in.empty()) return more;
   const auto is = part(in[0]);
   if (is == bad || announcedSize(in) > mostOf(is) + 5) return bad;
-  const auto parsed = parseMessage(in, out);
+  const auto parsed = parseMessage(in, out, kMostRow);
   if (parsed == Parsed::more) return more;
   if (parsed == Parsed::bad || !fits(is, out.body) || (is == aside && ++asides_ > kMostAsides)) return bad;
   if (is != aside)
--- a/src/pg/message.h
+++ b/src/pg/message.h
@@ -9,15 +9,15 @@
 
 enum class Parsed { more, whole, bad };
 
-constexpr std::size_t kMostBytes = 256 *
-                                   1024; // of one message; values have 64 KiB at most, twice that in hex
+constexpr std::size_t kMostBytes = 256 * 1024;    // of a message from a client
+constexpr std::size_t kMostRow = 4 * 1024 * 1024; // of a node's row: what is stored may have come another way
 
 struct Message {
   char type = 0;
   std::string_view body;
   std::size_t size = 0; // with its head
 };
-Parsed parseMessage(std::string_view in, Message &out);
+Parsed parseMessage(std::string_view in, Message &out, std::size_t most = kMostBytes);
 std::size_t announcedSize(std::string_view in); // of the message at the front; 0 while its head is not there
 
 // The first packet of a connection, which has no type.
