--- a/example/fleet.cpp
+++ b/lab/fleet.cpp
@@ -1,13 +1,13 @@
-#include "example/fleet.h"
+#include "lab/fleet.h"
 
-#include "pg/message.h"
-#include "pg/statement.h"
+#include "format/pg/message.h"
+#include "format/pg/statement.h"
 
 #include <algorithm>
 #include <charconv>
 #include <chrono>
 
-namespace myrtlehead::example {
+namespace myrtlehead::lab {
 
 namespace {
 
@@ -314,4 +314,4 @@
   co_return co_await socket.write(out, {}) == Cause::none;
 }
 
-} // namespace myrtlehead::example
+} // namespace myrtlehead::lab
--- a/example/fleet.h
+++ b/lab/fleet.h
@@ -2,12 +2,12 @@
 // process. It keeps to the protocol's forms and has the project's own parsers; it is no measure of anything.
 #pragma once
 
-#include "http/http.h"
-#include "net/socket.h"
+#include "base/net/socket.h"
+#include "format/http/http.h"
 
 #include <deque>
 
-namespace myrtlehead::example {
+namespace myrtlehead::lab {
 
 class Fleet {
 public:
@@ -67,4 +67,4 @@
   sched::Signal listChanged_, newsChanged_;
 };
 
-} // namespace myrtlehead::example
+} // namespace myrtlehead::lab
--- a/example/main.cpp
+++ b/lab/toy_fleet.cpp
@@ -1,8 +1,8 @@
 // toy_fleet CONFIGURATION: stands in for the nodes, discovery and platform that a marshal's configuration
 // names.
-#include "example/fleet.h"
-#include "setup/station.h"
-#include "json/json.h"
+#include "format/json/json.h"
+#include "lab/fleet.h"
+#include "program/setup/station.h"
 
 #include <csignal>
 #include <iostream>
@@ -11,8 +11,8 @@
 
 using namespace myrtlehead;
 
-example::Fleet::Beginning beginningOf(const setup::Station &station) {
-  example::Fleet::Beginning out{station.discovery, station.platform, 1, {}, station.deployment.rollout.caps};
+lab::Fleet::Beginning beginningOf(const setup::Station &station) {
+  lab::Fleet::Beginning out{station.discovery, station.platform, 1, {}, station.deployment.rollout.caps};
   if (const auto *build = station.news.find("build")) out.build = static_cast<int>(build->real);
   const auto *endpoints = station.known.find("endpoints");
   if (endpoints != nullptr)
@@ -39,7 +39,7 @@
     sched::Scheduler sched;
     sched.onThrow = [](const char *what) { std::cerr << "toy_fleet: " << what << '\n'; };
     net::Descriptors budget(1000);
-    example::Fleet fleet(sched, budget, beginningOf(station));
+    lab::Fleet fleet(sched, budget, beginningOf(station));
     std::cout << "discovery at " << fleet.discovery() << ", platform at " << fleet.platform() << std::endl;
     sched.run();
   } catch (const std::exception &e) {
--- a/src/calls/exchange.cpp
+++ b/src/base/calls/exchange.cpp
@@ -1,4 +1,4 @@
-#include "calls/exchange.h"
+#include "base/calls/exchange.h"
 
 namespace myrtlehead::calls {
 
--- a/src/calls/exchange.h
+++ b/src/base/calls/exchange.h
@@ -1,8 +1,8 @@
 // An HTTP call over a connection of its own: asked once, never repeated; the answer's body as it comes.
 #pragma once
 
-#include "http/http.h"
-#include "net/socket.h"
+#include "base/net/socket.h"
+#include "format/http/http.h"
 
 namespace myrtlehead::calls {
 
--- a/src/calls/line.cpp
+++ b/src/base/calls/line.cpp
@@ -1,4 +1,4 @@
-#include "calls/line.h"
+#include "base/calls/line.h"
 
 namespace myrtlehead::calls {
 
--- a/src/calls/line.h
+++ b/src/base/calls/line.h
@@ -2,8 +2,8 @@
 // answers come in that order, so a late answer is known for what it is. No call is repeated.
 #pragma once
 
-#include "http/http.h"
-#include "net/socket.h"
+#include "base/net/socket.h"
+#include "format/http/http.h"
 
 #include <deque>
 
--- a/src/log/log.cpp
+++ b/src/base/log/log.cpp
@@ -1,4 +1,4 @@
-#include "log/log.h"
+#include "base/log/log.h"
 
 #include <poll.h>
 #include <unistd.h>
--- a/src/net/descriptors.h
+++ b/src/base/net/descriptors.h
@@ -2,7 +2,7 @@
 // first.
 #pragma once
 
-#include "sched/scheduler.h"
+#include "base/sched/scheduler.h"
 
 namespace myrtlehead::net {
 
--- a/src/net/places.h
+++ b/src/base/net/places.h
@@ -1,7 +1,7 @@
 // Memory for large messages: each has its place before it is read on, so that many at once can't take it all.
 #pragma once
 
-#include "sched/scheduler.h"
+#include "base/sched/scheduler.h"
 
 #include <utility>
 
--- a/src/net/socket.cpp
+++ b/src/base/net/socket.cpp
@@ -1,4 +1,4 @@
-#include "net/socket.h"
+#include "base/net/socket.h"
 
 #include <arpa/inet.h>
 #include <cerrno>
--- a/src/net/socket.h
+++ b/src/base/net/socket.h
@@ -1,10 +1,10 @@
 // Non-blocking sockets on loopback or a private network: connect, accept, read and write as awaited calls.
 #pragma once
 
-#include "net/buffer.h"
-#include "net/descriptors.h"
-#include "net/result.h"
-#include "sched/scheduler.h"
+#include "base/net/buffer.h"
+#include "base/net/descriptors.h"
+#include "base/net/result.h"
+#include "base/sched/scheduler.h"
 
 #include <memory>
 #include <netinet/in.h>
--- a/src/sched/scheduler.cpp
+++ b/src/base/sched/scheduler.cpp
@@ -1,4 +1,4 @@
-#include "sched/scheduler.h"
+#include "base/sched/scheduler.h"
 
 #include <algorithm>
 #include <array>
--- a/src/sched/scheduler.h
+++ b/src/base/sched/scheduler.h
@@ -2,7 +2,7 @@
 // takes itself out of every queue when its coroutine is ended.
 #pragma once
 
-#include "sched/task.h"
+#include "base/sched/task.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/catalog/listing.cpp
+++ b/src/follow/catalog/listing.cpp
@@ -1,6 +1,6 @@
-#include "catalog/listing.h"
+#include "follow/catalog/listing.h"
 
-#include "net/socket.h"
+#include "base/net/socket.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/catalog/listing.h
+++ b/src/follow/catalog/listing.h
@@ -1,8 +1,8 @@
 // Discovery's JSON: the whole list, or the entries that have changed.
 #pragma once
 
+#include "format/json/json.h"
 #include "marshal/marshal.h"
-#include "json/json.h"
 
 namespace myrtlehead::catalog {
 
--- a/src/catalog/watch.cpp
+++ b/src/follow/catalog/watch.cpp
@@ -1,4 +1,4 @@
-#include "catalog/watch.h"
+#include "follow/catalog/watch.h"
 
 namespace myrtlehead::catalog {
 
--- a/src/catalog/watch.h
+++ b/src/follow/catalog/watch.h
@@ -1,8 +1,8 @@
 // Follows discovery: one watch at a time, opened when the marshal wants one.
 #pragma once
 
-#include "calls/exchange.h"
-#include "catalog/listing.h"
+#include "base/calls/exchange.h"
+#include "follow/catalog/listing.h"
 
 #include <map>
 
--- a/src/peers/datagrams.cpp
+++ b/src/follow/peers/datagrams.cpp
@@ -1,4 +1,4 @@
-#include "peers/datagrams.h"
+#include "follow/peers/datagrams.h"
 
 #include <algorithm>
 #include <array>
--- a/src/peers/datagrams.h
+++ b/src/follow/peers/datagrams.h
@@ -1,8 +1,8 @@
 // Notes between marshals: datagrams, told apart by the sender's address.
 #pragma once
 
+#include "base/net/socket.h"
 #include "marshal/marshal.h"
-#include "net/socket.h"
 
 namespace myrtlehead::peers {
 
--- a/src/platform/desk.cpp
+++ b/src/follow/platform/desk.cpp
@@ -1,4 +1,4 @@
-#include "platform/desk.h"
+#include "follow/platform/desk.h"
 
 #include "guard/log.h"
 
--- a/src/platform/desk.h
+++ b/src/follow/platform/desk.h
@@ -1,10 +1,10 @@
 // Calls on the platform: votes, on a standing connection, and the bulletin.
 #pragma once
 
-#include "calls/exchange.h"
-#include "calls/line.h"
+#include "base/calls/exchange.h"
+#include "base/calls/line.h"
+#include "follow/platform/words.h"
 #include "marshal/marshal.h"
-#include "platform/words.h"
 
 #include <map>
 
--- a/src/platform/words.cpp
+++ b/src/follow/platform/words.cpp
@@ -1,4 +1,4 @@
-#include "platform/words.h"
+#include "follow/platform/words.h"
 
 #include <charconv>
 #include <cmath>
--- a/src/platform/words.h
+++ b/src/follow/platform/words.h
@@ -1,9 +1,9 @@
 // The platform's forms: its news of the newest build, its answers to votes, its verdicts.
 #pragma once
 
+#include "format/http/http.h"
+#include "format/json/json.h"
 #include "guard/terms.h"
-#include "http/http.h"
-#include "json/json.h"
 
 #include <optional>
 
--- a/src/http/http.cpp
+++ b/src/format/http/http.cpp
@@ -1,4 +1,4 @@
-#include "http/http.h"
+#include "format/http/http.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/json/json.cpp
+++ b/src/format/json/json.cpp
@@ -1,4 +1,4 @@
-#include "json/json.h"
+#include "format/json/json.h"
 
 #include <charconv>
 #include <cmath>
--- a/src/pg/message.cpp
+++ b/src/format/pg/message.cpp
@@ -1,4 +1,4 @@
-#include "pg/message.h"
+#include "format/pg/message.h"
 
 #include <algorithm>
 
--- a/src/pg/statement.cpp
+++ b/src/format/pg/statement.cpp
@@ -1,4 +1,4 @@
-#include "pg/statement.h"
+#include "format/pg/statement.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/clients/door.cpp
+++ b/src/front/clients/door.cpp
@@ -1,6 +1,6 @@
-#include "clients/door.h"
+#include "front/clients/door.h"
 
-#include "clients/session.h"
+#include "front/clients/session.h"
 
 namespace myrtlehead::clients {
 
--- a/src/clients/door.h
+++ b/src/front/clients/door.h
@@ -1,9 +1,9 @@
 // The clients' side: accepts connections, answers their queries, and ends well.
 #pragma once
 
+#include "base/net/places.h"
+#include "base/net/socket.h"
 #include "marshal/marshal.h"
-#include "net/places.h"
-#include "net/socket.h"
 #include "nodes/pool.h"
 
 #include <set>
--- a/src/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -1,4 +1,4 @@
-#include "clients/session.h"
+#include "front/clients/session.h"
 
 #include "guard/log.h"
 
--- a/src/clients/session.h
+++ b/src/front/clients/session.h
@@ -1,9 +1,9 @@
 // One client connection, from its startup message to its end.
 #pragma once
 
-#include "clients/door.h"
-#include "pg/message.h"
-#include "pg/statement.h"
+#include "format/pg/message.h"
+#include "format/pg/statement.h"
+#include "front/clients/door.h"
 
 namespace myrtlehead::clients {
 
--- a/src/marshal/marshal.h
+++ b/src/marshal/marshal.h
@@ -2,9 +2,9 @@
 // came of it. It knows no protocol and decides nothing; the guard's facts and due lists stay behind it.
 #pragma once
 
+#include "base/log/log.h"
+#include "base/sched/scheduler.h"
 #include "guard/guard.h"
-#include "log/log.h"
-#include "sched/scheduler.h"
 
 #include <deque>
 #include <unordered_map>
--- a/src/nodes/pool.cpp
+++ b/src/nodes/pool.cpp
@@ -1,6 +1,6 @@
 #include "nodes/pool.h"
 
-#include "pg/message.h"
+#include "format/pg/message.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/nodes/pool.h
+++ b/src/nodes/pool.h
@@ -3,11 +3,11 @@
 // what a node sends too much shows before the next try, and can't become its answer.
 #pragma once
 
+#include "base/net/places.h"
+#include "base/net/socket.h"
+#include "format/pg/message.h"
+#include "format/pg/statement.h"
 #include "marshal/marshal.h"
-#include "net/places.h"
-#include "net/socket.h"
-#include "pg/message.h"
-#include "pg/statement.h"
 
 #include <functional>
 
--- a/src/main.cpp
+++ b/src/program/main.cpp
@@ -1,10 +1,10 @@
 // The marshal: reads its configuration, wires the parts together, serves until SIGTERM.
-#include "catalog/watch.h"
-#include "clients/door.h"
-#include "log/log.h"
-#include "peers/datagrams.h"
-#include "platform/desk.h"
-#include "setup/station.h"
+#include "base/log/log.h"
+#include "follow/catalog/watch.h"
+#include "follow/peers/datagrams.h"
+#include "follow/platform/desk.h"
+#include "front/clients/door.h"
+#include "program/setup/station.h"
 
 #include <algorithm>
 #include <csignal>
--- a/src/setup/deployment.cpp
+++ b/src/program/setup/deployment.cpp
@@ -1,4 +1,4 @@
-#include "setup/deployment.h"
+#include "program/setup/deployment.h"
 
 #include <charconv>
 #include <cmath>
--- a/src/setup/deployment.h
+++ b/src/program/setup/deployment.h
@@ -2,8 +2,8 @@
 // from the JSON of a marshal's configuration, by the same paths.
 #pragma once
 
+#include "format/json/json.h"
 #include "guard/terms.h"
-#include "json/json.h"
 
 #include <stdexcept>
 #include <string>
--- a/src/setup/station.cpp
+++ b/src/program/setup/station.cpp
@@ -1,4 +1,4 @@
-#include "setup/station.h"
+#include "program/setup/station.h"
 
 #include <charconv>
 #include <fstream>
--- a/src/setup/station.h
+++ b/src/program/setup/station.h
@@ -1,8 +1,8 @@
 // One marshal's place: its configuration, read and checked before anything else starts.
 #pragma once
 
-#include "net/socket.h"
-#include "setup/deployment.h"
+#include "base/net/socket.h"
+#include "program/setup/deployment.h"
 
 namespace myrtlehead::setup {
 
--- a/src/wire/codec.cpp
+++ b/src/sim/wire/codec.cpp
@@ -1,6 +1,6 @@
-#include "wire/codec.h"
+#include "sim/wire/codec.h"
 
-#include "setup/deployment.h"
+#include "program/setup/deployment.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/wirehost/main.cpp
+++ b/src/sim/wirehost/main.cpp
@@ -1,6 +1,6 @@
 // The adapter for the simulator's wire: hosts the instances, turns records into calls on the guard and its
 // answers into records. It keeps the reqs in hand and their timers, and decides nothing.
-#include "wire/codec.h"
+#include "sim/wire/codec.h"
 
 #include <cstdio>
 #include <memory>
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -1,7 +1,7 @@
 // The clients' side: what a connection is answered, and how it ends.
 #include "helpers.h"
 
-#include "clients/door.h"
+#include "front/clients/door.h"
 
 using namespace myrtlehead;
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1,10 +1,10 @@
 // The facade, the configuration, and what discovery, the platform and other marshals may do to them.
 #include "helpers.h"
 
-#include "catalog/watch.h"
-#include "peers/datagrams.h"
-#include "platform/desk.h"
-#include "setup/station.h"
+#include "follow/catalog/watch.h"
+#include "follow/peers/datagrams.h"
+#include "follow/platform/desk.h"
+#include "program/setup/station.h"
 
 using namespace myrtlehead;
 
--- a/tests/end_to_end_test.cpp
+++ b/tests/end_to_end_test.cpp
@@ -2,7 +2,7 @@
 // heeded.
 #include "helpers.h"
 
-#include "example/fleet.h"
+#include "lab/fleet.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -63,7 +63,7 @@
   return WEXITSTATUS(status);
 }
 
-static std::string configuration(const example::Fleet &fleet) {
+static std::string configuration(const lab::Fleet &fleet) {
   return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + fleet.discovery() + R"(","seed":"1",
     "platform":{"address":")" +
          fleet.platform() + R"(","news":{"build":1,"stage":1,"phase":"Healthy","cap":1,"age_ms":0}},
@@ -100,7 +100,7 @@
 static void servesThroughARollout() {
   Loop loop;
   const auto any = *net::parseAddress("127.0.0.1:0");
-  example::Fleet fleet(loop.sched, loop.budget, {any, any, 1, {{"s-1", any}, {"s-2", any}}, {0.3, 1}});
+  lab::Fleet fleet(loop.sched, loop.budget, {any, any, 1, {{"s-1", any}, {"s-2", any}}, {0.3, 1}});
   auto child = start(loop, configuration(fleet));
   auto body = [&]() -> sched::Task<> {
     co_await seen(child, "\n");
@@ -129,8 +129,8 @@
 static void takesUpAnotherPlace() {
   Loop loop;
   const auto any = *net::parseAddress("127.0.0.1:0");
-  example::Fleet fleet(loop.sched, loop.budget, {any, any, 1, {{"s-1", any}}, {1}});
-  example::Fleet moved(loop.sched, loop.budget, {any, any, 1, {{"s-9", any}}, {1}});
+  lab::Fleet fleet(loop.sched, loop.budget, {any, any, 1, {{"s-1", any}}, {1}});
+  lab::Fleet moved(loop.sched, loop.budget, {any, any, 1, {{"s-9", any}}, {1}});
   auto child = start(loop, configuration(fleet));
   auto body = [&]() -> sched::Task<> {
     co_await seen(child, "\n");
@@ -167,8 +167,8 @@
   };
   assert(fault("{", {}, "no JSON object") == 1);
   assert(fault("{}", {"--log", "loud"}, "usage") == 2);
-  example::Fleet fleet(loop.sched, loop.budget,
-                       {*net::parseAddress("127.0.0.1:0"), *net::parseAddress("127.0.0.1:0"), 1, {}, {1}});
+  lab::Fleet fleet(loop.sched, loop.budget,
+                   {*net::parseAddress("127.0.0.1:0"), *net::parseAddress("127.0.0.1:0"), 1, {}, {1}});
   auto taken = configuration(fleet);
   taken.replace(taken.find("127.0.0.1:0"), 11, fleet.discovery()); // somebody listens there
   assert(fault(taken, {}, "in use") == 1);
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -2,10 +2,10 @@
 // network code on, and a stand-in for a node.
 #pragma once
 
+#include "base/net/socket.h"
+#include "format/pg/message.h"
 #include "guard/guard.h"
-#include "net/socket.h"
 #include "nodes/pool.h"
-#include "pg/message.h"
 
 #include <cassert>
 #include <cstdio>
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -1,12 +1,12 @@
 // Every parser on whole input, on input cut at every byte, and on garbage.
-#include "catalog/listing.h"
+#include "follow/catalog/listing.h"
+#include "follow/platform/words.h"
+#include "format/http/http.h"
+#include "format/json/json.h"
+#include "format/pg/message.h"
+#include "format/pg/statement.h"
 #include "helpers.h"
-#include "http/http.h"
 #include "nodes/pool.h"
-#include "pg/message.h"
-#include "pg/statement.h"
-#include "platform/words.h"
-#include "json/json.h"
 
 #include <cmath>
 
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,6 +1,6 @@
 // The codec against the worked frames of the wire page, and against broken ones.
 #include "helpers.h"
-#include "wire/codec.h"
+#include "sim/wire/codec.h"
 
 #include <functional>
 #include <string>
