--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -56,7 +56,7 @@
 }
 
 std::string Fleet::text(const net::Socket &listener) {
-  return "127.0.0.1:" + std::to_string(ntohs(net::localAddress(listener).at.sin_port));
+  return "127.0.0.1:" + std::to_string(net::localAddress(listener).port());
 }
 
 Fleet::Node &Fleet::start(std::string name, net::Address at, int build, bool bad, long long since) {
--- a/src/base/net/socket.h
+++ b/src/base/net/socket.h
@@ -18,13 +18,18 @@
 using sched::Task;
 using sched::Until;
 
+// An IPv4 or IPv6 address with its port.
 struct Address {
-  sockaddr_in at{};
-  bool operator==(const Address &o) const {
-    return at.sin_addr.s_addr == o.at.sin_addr.s_addr && at.sin_port == o.at.sin_port;
-  }
+  sockaddr_in6 at{}; // a sockaddr_in stands in its place where the family says so
+  Address() { at.sin6_family = AF_INET; }
+  const sockaddr *raw() const { return reinterpret_cast<const sockaddr *>(&at); }
+  sockaddr *raw() { return reinterpret_cast<sockaddr *>(&at); }
+  socklen_t size() const { return v6() ? sizeof(sockaddr_in6) : sizeof(sockaddr_in); }
+  bool v6() const { return at.sin6_family == AF_INET6; }
+  std::uint16_t port() const { return ntohs(at.sin6_port); } // it stands at the same place in both
+  bool operator==(const Address &o) const;
 };
-std::optional<Address> parseAddress(std::string_view text); // "10.1.0.18:6432"
+std::optional<Address> parseAddress(std::string_view text); // "10.1.0.18:6432", "[fd00::12]:6432"
 std::string text(const Address &address);
 
 // One descriptor, known to the scheduler and the budget for as long as it lives.
@@ -65,6 +70,9 @@
 // Throws std::system_error where the address can't be had: the program then can't serve.
 std::unique_ptr<Socket> listenAt(Scheduler &sched, Descriptors &budget, Address at);
 std::unique_ptr<Socket> datagramsAt(Scheduler &sched, Descriptors &budget, Address at);
+// A datagram socket that hears `to` alone, at a port that the system draws. nullptr: no descriptor, or no way
+// there.
+std::unique_ptr<Socket> datagramsTo(Scheduler &sched, Descriptors &budget, Address to);
 Address localAddress(const Socket &socket);
 
 // A connection, or a descriptor shortage of the machine's (none there: timedOut).
--- /dev/null
+++ b/src/decide/resolver/resolution.h
@@ -0,0 +1,20 @@
+// How long what was resolved is believed, and how often is asked. Plain values.
+#pragma once
+
+#include <cstdint>
+
+namespace myrtlehead::resolver {
+
+using Ns = std::int64_t;
+
+struct Resolution {
+  Ns floor = 1'000'000'000, ceiling = 3'600'000'000'000; // of a lifetime, ns
+  Ns staleMost = 3 * 86'400'000'000'000;                 // past its lifetime a good answer serves so long
+  Ns denialDefault = 60'000'000'000;                     // of a denial that tells no lifetime
+  Ns firstWait = 400'000'000;                            // for the first answer; doubled for each further try
+  int tries = 5;                                         // of one look-up, over all servers
+  Ns backOffLeast = 1'000'000'000, backOffMost = 30'000'000'000; // between look-ups that fail
+  bool operator==(const Resolution &) const = default;
+};
+
+} // namespace myrtlehead::resolver
--- a/src/follow/catalog/watch.cpp
+++ b/src/follow/catalog/watch.cpp
@@ -65,7 +65,7 @@
   }
   open_.erase(turn);
   if (turn != turn_) co_return; // replaced meanwhile
-  log_.info("watch on discovery ended: ", net::word(cause), ", status ", call.head().status);
+  log_.info("watch on discovery ended", {{"cause", net::word(cause)}, {"status", call.head().status}});
   marshal_.listFailed();
 }
 
@@ -74,7 +74,7 @@
   const auto value = json::parse(text, &error);
   const auto list = value ? readList(*value, zones_, unixAtZero_, error) : std::nullopt;
   if (!list) {
-    log_.warning("discovery sent a line that is no list: ", error);
+    log_.warning("discovery sent a line that is no list", {{"why", error}});
     return false;
   }
   index_ = list->index;
--- /dev/null
+++ b/src/follow/names/counters.cpp
@@ -0,0 +1,81 @@
+#include "follow/names/counters.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+namespace myrtlehead::names {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+
+struct Counters::Families {
+  explicit Families(prometheus::Registry &r)
+      : queries(BuildCounter()
+                    .Name("myrtlehead_names_queries_total")
+                    .Help("Queries sent to servers of names")
+                    .Register(r)),
+        mishaps(BuildCounter()
+                    .Name("myrtlehead_names_mishaps_total")
+                    .Help("Queries without a usable answer")
+                    .Register(r)),
+        lookups(BuildCounter()
+                    .Name("myrtlehead_names_lookups_total")
+                    .Help("Look-ups by what they came to")
+                    .Register(r)),
+        servers(BuildGauge().Name("myrtlehead_names_servers").Help("Servers by who names them").Register(r)),
+        disagreements(BuildGauge()
+                          .Name("myrtlehead_names_disagreements")
+                          .Help("Servers on which list and names disagree")
+                          .Register(r)),
+        conditions(BuildGauge()
+                       .Name("myrtlehead_names_condition")
+                       .Help("Of the set: 1 while it lasts, or a count")
+                       .Register(r)),
+        staleness(BuildGauge()
+                      .Name("myrtlehead_names_stale_seconds")
+                      .Help("Time since the end of the oldest lifetime that is served on")
+                      .Register(r)
+                      .Add({})) {}
+  prometheus::Family<prometheus::Counter> &queries, &mishaps, &lookups;
+  prometheus::Family<prometheus::Gauge> &servers, &disagreements, &conditions;
+  prometheus::Gauge &staleness;
+};
+
+Counters::Counters(prometheus::Registry &registry) : f_(std::make_unique<Families>(registry)) {}
+Counters::~Counters() = default;
+
+void Counters::query(bool tcp) { f_->queries.Add({{"transport", tcp ? "tcp" : "udp"}}).Increment(); }
+
+void Counters::mishap(resolver::Mishap what) {
+  constexpr const char *kWords[] = {"timed_out", "unreachable", "unreadable", "broken"};
+  f_->mishaps.Add({{"kind", kWords[static_cast<int>(what)]}}).Increment();
+}
+
+void Counters::lookup(resolver::Said said) { f_->lookups.Add({{"result", word(said)}}).Increment(); }
+
+void Counters::staleness(double seconds) { f_->staleness.Set(seconds); }
+
+void Counters::set(const sources::Figures &f) {
+  const auto put = [](auto &family, const char *label, const char *value, auto figure) {
+    family.Add({{label, value}}).Set(static_cast<double>(figure));
+  };
+  put(f_->servers, "by", "set", f.servers);
+  put(f_->servers, "by", "list", f.listed);
+  put(f_->servers, "by", "names", f.named);
+  put(f_->servers, "by", "unresolved", f.unresolved);
+  put(f_->servers, "by", "unknown_build", f.unknownBuild);
+  put(f_->disagreements, "kind", "drained_but_named", f.drainedButNamed);
+  put(f_->disagreements, "kind", "listed_not_named", f.listedNotNamed);
+  put(f_->disagreements, "kind", "two_names", f.twoNames);
+  put(f_->disagreements, "kind", "builds_differ", f.buildsDiffer);
+  put(f_->conditions, "kind", "damped", f.damped);
+  put(f_->conditions, "kind", "held", f.held);
+  put(f_->conditions, "kind", "stale_sets", f.staleSets);
+  put(f_->conditions, "kind", "expired_sets", f.expiredSets);
+  put(f_->conditions, "kind", "denied_sets", f.deniedSets);
+  put(f_->conditions, "kind", "last_resort", f.lastResort);
+  put(f_->conditions, "kind", "list_down", f.listDown);
+}
+
+} // namespace myrtlehead::names
--- /dev/null
+++ b/src/follow/names/names.cpp
@@ -0,0 +1,279 @@
+#include "follow/names/names.h"
+
+#include "follow/names/snapshot.h"
+
+#include <algorithm>
+
+namespace myrtlehead::names {
+
+using resolver::Answer;
+using resolver::Said;
+using sources::Word;
+
+namespace {
+
+constexpr Ns kAtOnce = kSec / 4;     // the first look-ups, where there is nothing to serve from
+constexpr Ns kKeepEvery = 10 * kSec; // the state on disk, at most
+constexpr Ns kLongestPause = 60 * kSec;
+
+Word wordOf(Said said) {
+  return said == Said::records  ? Word::records
+         : said == Said::denied ? Word::denied
+         : said == Said::empty  ? Word::empty
+                                : Word::failed;
+}
+
+} // namespace
+
+Names::Names(net::Scheduler &sched, net::Descriptors &budget, sources::Sources &sources, const Naming &naming,
+             std::uint64_t seed, log::Log log, Counters &counters)
+    : sched_(sched), budget_(budget), sources_(sources), naming_(naming), log_(std::move(log)),
+      counters_(counters), chance_(seed), agenda_(naming.resolution, seed + 1) {
+  for (const auto &set : naming.sets) {
+    const auto name = *dns::canonical(set.name);
+    sources_.follow(name, set.release, set.zone);
+    sets_.push_back({name, dns::Type::srv});
+  }
+  lastFailure_.resize(sets_.size());
+  heard_.resize(sets_.size());
+  serversMoved(naming.servers);
+}
+
+void Names::serversMoved(std::vector<net::Address> servers) {
+  servers_ = std::make_shared<std::vector<std::unique_ptr<Server>>>();
+  for (const auto &at : servers)
+    servers_->push_back(std::make_unique<Server>(Server{at, std::make_shared<TcpLine>(sched_, budget_, at)}));
+  health_ = std::make_shared<resolver::NameServers>(servers.size());
+}
+
+net::Task<> Names::run(bool mayWait) {
+  for (const auto &question : sets_)
+    agenda_.want(question, mayWait ? naming_.startSpread : kAtOnce, sched_.now());
+  wantHosts();
+  for (;;) {
+    while (const auto question = agenda_.take(sched_.now())) sched_.spawn(flight(*question));
+    if (changed_ || sources_.nextChange(publishedAt_) <= sched_.now()) publish();
+    keep();
+    const Ns next = std::min(
+        {agenda_.nextAt(), sources_.nextChange(publishedAt_), sched_.now() + kLongestPause});
+    const sched::Until until{next, nullptr};
+    co_await sched_.wait(touched_, until);
+  }
+}
+
+net::Task<Asked> Names::ask(const resolver::Ask &ask) {
+  const net::Until until{sched_.now() + ask.within, nullptr};
+  auto &server = *(*servers_)[ask.server];
+  counters_.query(ask.tcp);
+  if (ask.tcp) co_return co_await server.line->ask(ask.sent, until);
+  co_return co_await askOverUdp(sched_, budget_, server.at, ask.sent, until);
+}
+
+net::Task<> Names::flight(dns::Question question) {
+  const auto servers = servers_; // they may move meanwhile
+  const auto health = health_;
+  resolver::Lookup lookup(question, naming_.resolution, *health);
+  while (!lookup.over()) {
+    const auto next = lookup.next(sched_.now(), chance_);
+    if (servers != servers_) break;
+    const auto asked = co_await ask(next);
+    if (!asked.answered) counters_.mishap(asked.mishap);
+    if (asked.answered)
+      lookup.answered(asked.message, asked.folded, sched_.now());
+    else
+      lookup.mishap(asked.mishap, sched_.now());
+  }
+  const auto &answer = lookup.answer();
+  counters_.lookup(answer.said);
+  log_.debug("look-up", {{"name", question.name},
+                         {"type", word(question.type)},
+                         {"said", word(answer.said)},
+                         {"records", answer.records.size()},
+                         {"why", answer.why}});
+  if (agenda_.told(question, answer, sched_.now())) settle(question, answer);
+  touched_.notify();
+}
+
+void Names::settle(const dns::Question &question, const Answer &answer) {
+  const auto set = std::find(sets_.begin(), sets_.end(), question);
+  if (set != sets_.end())
+    settleSet(static_cast<std::size_t>(set - sets_.begin()), question, answer);
+  else
+    settleHost(question, answer);
+  changed_ = true;
+}
+
+void Names::settleSet(std::size_t set, const dns::Question &question, const Answer &answer) {
+  heard_[set] = true;
+  lastFailure_[set] = answer.said == Said::records  ? ""
+                      : answer.said == Said::failed ? answer.why
+                      : answer.said == Said::denied ? "no such name"
+                                                    : "the name has no SRV records";
+  auto word = wordOf(answer.said);
+  std::vector<sources::Target> targets;
+  for (const auto &r : answer.records)
+    if (!r.target.empty()) targets.push_back({r.target, r.port, r.priority, r.weight});
+  if (word == Word::records && targets.empty()) {
+    word = Word::notAvailable;
+    lastFailure_[set] = "decidedly not available: the target is '.'";
+  }
+  const bool again = sources_.named(set, word, targets, agenda_.goodUntil(question), sched_.now());
+  if (again) agenda_.hasten(question, naming_.prudence.askAgain, sched_.now());
+  takeAdditional(answer);
+  wantHosts();
+}
+
+// Addresses that came along spare a look-up each.
+void Names::takeAdditional(const Answer &answer) {
+  std::map<std::string, std::pair<std::vector<std::string>, Ns>> byHost;
+  for (const auto &r : answer.additional) {
+    if (r.type != dns::Type::a) continue;
+    auto &[addresses,
+           lifetime] = byHost.try_emplace(r.owner, std::vector<std::string>{}, INT64_MAX).first->second;
+    addresses.push_back(r.address);
+    lifetime = std::min<Ns>(lifetime, r.ttl * kSec);
+  }
+  const auto wanted = byHost.empty() ? std::vector<sources::Sources::Wanted>{} : sources_.hostsWanted();
+  for (const auto &w : wanted) {
+    const auto it = byHost.find(w.host);
+    if (it == byHost.end()) continue;
+    sources_.resolved(w.host, Word::records, it->second.first);
+    agenda_.cameAlong({w.host, dns::Type::a}, it->second.second, sched_.now());
+  }
+}
+
+void Names::settleHost(const dns::Question &question, const Answer &answer) {
+  const auto &host = question.name;
+  if (question.type == dns::Type::txt) {
+    if (answer.said == Said::failed) return;
+    int release = -1;
+    for (const auto &r : answer.records) release = std::max(release, sources::releaseIn(r.text));
+    return sources_.told(host, release);
+  }
+  // IPv4 before IPv6: the latter is asked for only where there is none of the former.
+  const dns::Question six{host, dns::Type::aaaa};
+  const bool isFour = question.type == dns::Type::a;
+  if (isFour && (answer.said == Said::denied || answer.said == Said::empty))
+    return agenda_.want(six, 0, sched_.now());
+  std::vector<std::string> addresses;
+  for (const auto &r : answer.records) addresses.push_back(r.address);
+  if (isFour && answer.said == Said::records) agenda_.forget(six);
+  if (sources_.resolved(host, wordOf(answer.said), std::move(addresses)))
+    agenda_.hasten(question, naming_.prudence.askAgain, sched_.now());
+}
+
+void Names::wantHosts() {
+  std::map<std::string, bool> wanted;
+  for (const auto &w : sources_.hostsWanted()) wanted[w.host] = w.release;
+  for (const auto &[host, release] : hosts_)
+    if (!wanted.contains(host))
+      for (const auto type : {dns::Type::a, dns::Type::aaaa, dns::Type::txt}) agenda_.forget({host, type});
+  for (const auto &[host, release] : wanted) {
+    agenda_.want({host, dns::Type::a}, 0, sched_.now());
+    if (release) agenda_.want({host, dns::Type::txt}, 0, sched_.now());
+  }
+  hosts_.swap(wanted);
+}
+
+void Names::publish() {
+  changed_ = false;
+  publishedAt_ = sched_.now();
+  if (changed) changed();
+  const auto &figures = sources_.figures();
+  Ns oldest = 0;
+  for (const auto &question : sets_) {
+    const Ns until = agenda_.goodUntil(question);
+    if (until != 0) oldest = std::max(oldest, sched_.now() - until);
+  }
+  counters_.set(figures);
+  counters_.staleness(static_cast<double>(oldest) / 1e9);
+  tellMode(figures);
+}
+
+// One line where the condition of the set changes, with its figures.
+void Names::tellMode(const sources::Figures &f) {
+  const auto &was = mode_;
+  const auto same = [](auto a, auto b) { return (a > 0) == (b > 0); };
+  const bool kept = moded_ && same(was.servers, f.servers) && same(was.staleSets, f.staleSets) &&
+                    same(was.expiredSets, f.expiredSets) && same(was.deniedSets, f.deniedSets) &&
+                    same(was.held, f.held) && same(was.damped, f.damped) && was.lastResort == f.lastResort &&
+                    was.listDown == f.listDown && same(was.drainedButNamed, f.drainedButNamed);
+  mode_ = f;
+  if (kept) return;
+  moded_ = true;
+  const char *mode = f.servers == 0      ? "no server is known"
+                     : f.lastResort      ? "names are believed as a last resort"
+                     : f.expiredSets > 0 ? "names have expired"
+                     : f.held > 0        ? "a sudden loss is held"
+                     : f.staleSets > 0   ? "names are stale"
+                     : f.deniedSets > 0  ? "names are denied"
+                                         : "names are followed";
+  log_.info(mode, {{"servers", f.servers},
+                   {"listed", f.listed},
+                   {"named", f.named},
+                   {"stale_sets", f.staleSets},
+                   {"held", f.held},
+                   {"damped", f.damped},
+                   {"drained_but_named", f.drainedButNamed},
+                   {"unknown_build", f.unknownBuild},
+                   {"list_down", f.listDown}});
+}
+
+bool Names::settled() const {
+  if (std::find(heard_.begin(), heard_.end(), false) != heard_.end()) return false;
+  return agenda_.open() == 0 && agenda_.nextAt() > sched_.now();
+}
+
+std::string Names::sealed() const {
+  return store::seal(kind_, writePast(sources_.past(), unixAtZero_, sched_.now()));
+}
+
+void Names::keep() {
+  if (writer_ == nullptr) return;
+  if (const auto fault = writer_->lastFault(); !fault.empty())
+    log_.warning("the state of names is not kept", {{"why", fault}});
+  if (sched_.now() - keptAt_ < kKeepEvery) return;
+  const bool any = std::any_of(sets_.begin(), sets_.end(),
+                               [&](const auto &q) { return agenda_.goodAt(q) > keptAt_; });
+  if (!any) return;
+  keptAt_ = sched_.now();
+  writer_->put(sealed());
+}
+
+void Names::saveNow() {
+  if (writer_ == nullptr) return;
+  writer_ = nullptr; // what was handed over is saved first
+  const auto fault = store::save(path_, sealed());
+  if (!fault.empty()) log_.warning("the state of names is not kept", {{"why", fault}});
+}
+
+bool Names::keepIn(const std::string &path, store::Kind kind, sched::Ns unixAtZero) {
+  path_ = path;
+  kind_ = std::move(kind);
+  kind_.format = kSnapshotFormat;
+  unixAtZero_ = unixAtZero;
+  const auto opened = store::load(path, kind_);
+  Ns savedAt = 0;
+  auto past = opened.refusal == store::Opened::none ? readPast(opened.payload, unixAtZero, savedAt)
+                                                    : std::nullopt;
+  writer_ = std::make_unique<store::Writer>(path);
+  if (!past) {
+    if (opened.refusal != store::Opened::missing)
+      log_.warning(
+          "the kept state of names is refused",
+          {{"file", path}, {"why", opened.refusal == store::Opened::none ? "it can't be read" : opened.why}});
+    return false;
+  }
+  sources_.restore(*past, sched_.now());
+  for (const auto &set : past->sets) {
+    const dns::Question question{set.name, dns::Type::srv};
+    agenda_.want(question, naming_.startSpread, sched_.now());
+    agenda_.restore(question, set.goodAt, set.goodUntil);
+  }
+  log_.info("the kept state of names is served until names answer",
+            {{"file", path}, {"age_s", (sched_.now() - savedAt) / kSec}, {"sets", past->sets.size()}});
+  changed_ = true;
+  return true;
+}
+
+} // namespace myrtlehead::names
--- a/src/follow/peers/datagrams.cpp
+++ b/src/follow/peers/datagrams.cpp
@@ -17,8 +17,7 @@
     const auto note = co_await marshal_.nextNote();
     if (note.bytes.size() > kMostBytes || note.to >= static_cast<int>(peers_.size())) continue;
     const auto &to = note.to < 0 ? all_ : peers_[static_cast<std::size_t>(note.to)];
-    sendto(socket_->fd(), note.bytes.data(), note.bytes.size(), MSG_NOSIGNAL,
-           reinterpret_cast<const sockaddr *>(&to.at), sizeof to.at);
+    sendto(socket_->fd(), note.bytes.data(), note.bytes.size(), MSG_NOSIGNAL, to.raw(), to.size());
   }
 }
 
@@ -28,8 +27,7 @@
     if (n % kTurn == 0) co_await sched_.sleep(0);
     net::Address from;
     socklen_t size = sizeof from.at;
-    const auto got = recvfrom(socket_->fd(), bytes.data(), bytes.size(), 0,
-                              reinterpret_cast<sockaddr *>(&from.at), &size);
+    const auto got = recvfrom(socket_->fd(), bytes.data(), bytes.size(), 0, from.raw(), &size);
     if (got < 0 && errno == EAGAIN) co_await socket_->readable({});
     if (got <= 0 || static_cast<std::size_t>(got) > kMostBytes) continue;
     const auto peer = std::find(peers_.begin(), peers_.end(), from);
--- a/src/follow/platform/desk.cpp
+++ b/src/follow/platform/desk.cpp
@@ -15,8 +15,10 @@
   for (;;) {
     const auto vote = co_await marshal_.nextVote();
     const auto answer = co_await call(voteForm(vote));
-    log_.debug("vote ", word(vote.verdict), " on build ", vote.build, " stage ", vote.stage, ": ",
-               word(answer.reply));
+    log_.debug("vote", {{"verdict", word(vote.verdict)},
+                        {"build", vote.build},
+                        {"stage", vote.stage},
+                        {"reply", word(answer.reply)}});
     if (answer.news) marshal_.news(*answer.news);
     marshal_.voteAnswered(answer.reply);
   }
@@ -32,8 +34,8 @@
     co_return answer.value_or(Answer{});
   }
   const auto &failure = answered.failure();
-  log_.debug("call on the platform failed: ", net::word(failure.cause), ", reach ",
-             static_cast<int>(failure.reach));
+  log_.debug("call on the platform failed",
+             {{"cause", net::word(failure.cause)}, {"reach", static_cast<int>(failure.reach)}});
   const bool never = failure.reach == net::Reach::unconnected || failure.reach == net::Reach::partlyWritten;
   co_return Answer{never ? Reply::error : Reply::timedOut, {}};
 }
@@ -87,7 +89,7 @@
   }
   open_.erase(turn);
   if (turn != turn_) co_return; // replaced meanwhile
-  log_.info("bulletin of the platform ended: ", net::word(cause));
+  log_.info("bulletin of the platform ended", {{"cause", net::word(cause)}});
   co_await sched_.sleep(kAgain);
   if (turn == turn_) wanted_.notify();
 }
--- a/src/front/clients/door.cpp
+++ b/src/front/clients/door.cpp
@@ -40,8 +40,8 @@
   const bool enough = budget_.left() > budget_.most() / kKept;
   if (short_ ? budget_.left() > budget_.most() / (kKept - 1) : !enough) {
     short_ = !short_;
-    log_.info(short_ ? "descriptors are short, idle clients are closed: " : "descriptors suffice again: ",
-              budget_.left(), " left of ", budget_.most());
+    log_.info(short_ ? "descriptors are short, idle clients are closed" : "descriptors suffice again",
+              {{"left", budget_.left()}, {"of", budget_.most()}});
   }
   // Reqs take a third of the descriptors at most, so beyond that some connection has none and holds a place
   // that a client with one may be short of.
@@ -80,7 +80,7 @@
 void Door::fault(std::string_view what) {
   ++faults_;
   if (sched_.now() - faultSaid_ < kFaultSaid) return;
-  log_.warning("clients sent ", faults_, " messages that can't be used, the latest: ", what);
+  log_.warning("clients sent messages that can't be used", {{"count", faults_}, {"latest", what}});
   faults_ = 0;
   faultSaid_ = sched_.now();
 }
--- a/src/front/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -285,8 +285,9 @@
     auto *target = choice.target;
     auto tried = co_await door_.pool_.attempt(*target, statement, until,
                                               [&] { return marshal.stillMeant(call); });
-    door_.log_.debug("try at ", target->name, ": ", word(tried.outcome), ", load fields ",
-                     tried.loads.size());
+    door_.log_.debug(
+        "try",
+        {{"node", target->name}, {"outcome", word(tried.outcome)}, {"load_fields", tried.loads.size()}});
     if (!tried.loads.empty()) marshal.load(call, tried.loads);
     if (gone_.requested()) marshal.left(call);
     choice = marshal.report(call, tried.outcome);
@@ -297,8 +298,8 @@
     co_return false;
   }
   if (choice.what != Choice::nothing)
-    door_.log_.debug(choice.what == Choice::shed ? "shed" : "errored", " a req of route ", route, " after ",
-                     (door_.sched_.now() - taken) / kMs, " ms");
+    door_.log_.debug(choice.what == Choice::shed ? "shed a req" : "errored a req",
+                     {{"route", route}, {"after_ms", (door_.sched_.now() - taken) / kMs}});
   if (choice.what == Choice::shed) {
     const auto pause = choice.retryAfter > 0 ? std::to_string(choice.retryAfter / kMs) : "";
     pg::addError(out_, {"ERROR", "53300", "too busy; trying again is harmless", pause});
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -42,6 +42,7 @@
 constexpr double kLearn = 0.1; // weight of the newest sample in a running mean
 constexpr Ns kForget = 5 * kSec, kReportLife = kSec;  // a latency is half forgiven, a report void, after this
 constexpr double kFailWeight = 10, kCrossWeight = 10; // load of one that always fails; per cross-zone price
+constexpr int kDraws = 16;                            // for a node, by its weight
 constexpr double kQuartileStep = 0.1, kFarStill = 0.05; // the latter: share of reqs that still go far
 constexpr double kFarAway = 3; // times the own zone's quartile, from which tries at others take long
 constexpr double kRoom = 0.25; // part of the objectives used up, below which there is room
@@ -150,7 +151,7 @@
   const bool fresh = n.reportedAt > 0 && now - n.reportedAt < kReportLife;
   const double far = n.listing.zone == s.d.zone ? 1 : 1 + kCrossWeight * s.d.crossZonePrice;
   const double queue = 1 + n.inflight + (fresh ? n.reported : 0);
-  return queue * (1 + slow) * far * (1 + kFailWeight * n.failShare) / warmth(n, now);
+  return queue * (1 + slow) * far * (1 + kFailWeight * n.failShare) / (warmth(n, now) * n.listing.weight);
 }
 
 // Guards against nodes that hang or lose their answers, before any try has timed out. Could harm where one
@@ -167,6 +168,7 @@
       if (t.mayHaveRun && (route.group == Group::zone ? n.listing.zone != t.zone : n.listing.cell != t.cell))
         return false;
   if (!s.d.rollout.noReturn || rq.key == 0) return true;
+  if (n.listing.build == kUnknownBuild) return false; // it might be an earlier one
   const auto it = s.keyBuild.find(rq.key);
   return it == s.keyBuild.end() || n.listing.build >= it->second;
 }
@@ -197,8 +199,15 @@
   if (!rq.tries.empty() && !std::all_of(from.begin(), from.end(), tried)) std::erase_if(from, tried);
   if (from.empty()) return nullptr;
   if (from.size() == 1) return from[0];
+  // By weight, where weights are told: a node is passed over by what it has less than the largest.
   std::uniform_int_distribution<std::size_t> first(0, from.size() - 1), second(0, from.size() - 2);
-  const auto i = first(s.chance), j = second(s.chance);
+  const auto passed = [&](std::size_t at) {
+    return from[at]->listing.weight < 1 && uniform() >= from[at]->listing.weight;
+  };
+  auto i = first(s.chance);
+  for (int n = 0; n < kDraws && passed(i); ++n) i = first(s.chance);
+  auto j = second(s.chance);
+  for (int n = 0; n < kDraws && passed(j < i ? j : j + 1); ++n) j = second(s.chance);
   Node *a = from[i], *b = from[j < i ? j : j + 1];
   return load(*b, now) < load(*a, now) ? b : a;
 }
@@ -213,6 +222,9 @@
     else if (trialOpen(rq, n->listing.build))
       trial.push_back(n);
   }
+  const auto otherTier = [&](Node *n) { return n->listing.tier != rq.tier; };
+  for (auto *part : {&main, &trial})
+    if (!std::all_of(part->begin(), part->end(), otherTier)) std::erase_if(*part, otherTier);
   const auto older = [&](Node *n) { return n->listing.build < newest; };
   if (2 * std::count_if(main.begin(), main.end(), older) <= std::ssize(main)) std::erase_if(main, older);
   Node *m = twoChoices(main, rq, kAnyPace, now);
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -30,6 +30,7 @@
   std::uint64_t key = 0;
   Ns taken = 0, deadline = 0;
   bool clientRepeat = false;
+  int tier = 0; // the group of nodes that it is for
   std::vector<Try> tries;
   bool counted = false; // its exposure credit is booked
   bool ended = false;   // the client has its final answer, or has left
--- a/src/guard/terms.h
+++ b/src/guard/terms.h
@@ -67,10 +67,14 @@
 enum class Reply { ok, moot, full, error, timedOut };
 enum class Verdict { withdraw, on, hold, back };
 
+constexpr int kUnknownBuild = 65536; // later than any that can be told: on trial for ever
+
 struct Listing {
   int build = 0, zone = 0, cell = 0;
   Ns start = 0; // 0: long ago
   Mode mode = Mode::ready;
+  int tier = 0;      // its group by preference, 0 first
+  double weight = 1; // of the largest in its group
 };
 
 struct News {
--- a/src/marshal/marshal.cpp
+++ b/src/marshal/marshal.cpp
@@ -17,7 +17,7 @@
 }
 
 Marshal::Marshal(sched::Scheduler &sched, Deployment deployment, std::uint64_t seed, log::Log &log)
-    : sched_(sched), log_(log), guard_(std::move(deployment), seed, sched.now()) {}
+    : sched_(sched), log_(log), guard_(std::move(deployment), seed, sched.now()), groupChance_(seed + 1) {}
 
 Choice Marshal::carryOut(Call &call, const Step &step) {
   untouched_ = false;
@@ -42,6 +42,8 @@
 }
 
 sched::Task<Choice> Marshal::pick(Call &call, sched::Stop &stop) {
+  if (preference_.groups() > 1)
+    call.rq_.tier = preference_.pick(std::uniform_real_distribution<double>(0, 1)(groupChance_));
   for (;;) {
     const auto step = guard_.where(call.rq_, now());
     if (step.what != Step::hold) co_return carryOut(call, step);
@@ -54,6 +56,12 @@
   auto &rq = call.rq_;
   const auto last = rq.tries.size() - 1;
   const Ns took = now() - rq.tries[last].sent;
+  if (preference_.groups() > 1 && (outcome == Outcome::completed || outcome == Outcome::timedOut)) {
+    const auto objective = guard_.s.d.routes[static_cast<std::size_t>(rq.route)].objective;
+    preference_.finished(call.target_->node->listing.tier,
+                         static_cast<double>(took) / static_cast<double>(std::max<Ns>(objective, 1)));
+    rq.tier = preference_.pick(std::uniform_real_distribution<double>(0, 1)(groupChance_));
+  }
   const bool settled = outcome == Outcome::completed || rq.ended;
   return carryOut(call, guard_.after(rq, static_cast<int>(last), outcome, took, settled, now()));
 }
@@ -102,6 +110,47 @@
 }
 
 void Marshal::listed(const std::vector<Entry> &entries, bool whole, bool saved) {
+  if (sources_ == nullptr) return apply(entries, whole, saved);
+  sources_->listed(entries, whole, now());
+  apply(sources_->merged(now()), true, saved);
+}
+
+void Marshal::follow(sources::Sources &sources) { sources_ = &sources; }
+
+void Marshal::namesChanged() { apply(sources_->merged(now()), true, true); }
+
+// Guards a node that list and names call differently: it keeps its life where the name that leads changes.
+void Marshal::rename(const std::vector<Entry> &entries) {
+  std::unordered_map<std::string_view, Target *> byAddress;
+  for (auto &t : targets_)
+    if (t.listed) byAddress[t.address] = &t;
+  std::unordered_map<std::string_view, const Entry *> named;
+  for (const auto &e : entries) named[e.name] = &e;
+  for (const auto &e : entries) {
+    const auto t = byAddress.find(e.address);
+    if (t == byAddress.end() || t->second->name == e.name || byName_.contains(e.name) ||
+        named.contains(t->second->name))
+      continue;
+    byName_.erase(t->second->name);
+    t->second->name = e.name;
+    byName_[e.name] = t->second;
+  }
+}
+
+// What rests is counted each tenth of a second; only where there is more than one group.
+void Marshal::observeGroups() {
+  if (sources_ == nullptr || (preference_.groups() <= 1 && sources_->figures().groups <= 1)) return;
+  std::vector<preference::Preference::Group> groups(std::max<std::size_t>(sources_->figures().groups, 1));
+  for (const auto *n : guard_.s.ready) {
+    const auto tier = std::min(static_cast<std::size_t>(n->listing.tier), groups.size() - 1);
+    ++groups[tier].servers;
+    groups[tier].resting += n->restUntil > now();
+  }
+  preference_.observe(groups, now());
+}
+
+void Marshal::apply(const std::vector<Entry> &entries, bool whole, bool saved) {
+  if (sources_ != nullptr) rename(entries);
   for (const auto &e : entries) {
     auto &t = known(e.name);
     const auto &was = t.node->listing;
@@ -122,6 +171,7 @@
 }
 
 void Marshal::listFailed() {
+  if (sources_ != nullptr) sources_->listFailed();
   guard_.listFailed(now());
   round();
 }
@@ -182,6 +232,7 @@
 sched::Task<> Marshal::tick() {
   for (;;) {
     round();
+    observeGroups();
     untouched_ = true;
     co_await sched_.sleep(guard_.s.d.tick); // what comes in meanwhile is looked at together
     const sched::Until beat{now() + guard_.wait(now()), nullptr};
--- a/src/marshal/marshal.h
+++ b/src/marshal/marshal.h
@@ -4,6 +4,8 @@
 
 #include "base/log/log.h"
 #include "base/sched/scheduler.h"
+#include "decide/preference/preference.h"
+#include "decide/sources/sources.h"
 #include "guard/guard.h"
 
 #include <deque>
@@ -41,11 +43,7 @@
   int build_ = 0;
 };
 
-// A line of the node list.
-struct Entry {
-  std::string name, address;
-  Listing listing;
-};
+using sources::Entry;
 
 class Marshal {
 public:
@@ -64,6 +62,11 @@
   void listFailed();
   Target *find(const std::string &name);
 
+  // Name records: from now on the list and they make one set by the rule of `sources`, which must live as
+  // long.
+  void follow(sources::Sources &sources);
+  void namesChanged(); // what names have told has changed, or its time has come
+
   // The platform.
   sched::Task<Vote> nextVote();
   void voteAnswered(Reply reply);
@@ -79,12 +82,18 @@
 private:
   Choice carryOut(Call &call, const Step &step);
   Target &known(const std::string &name);
+  void apply(const std::vector<Entry> &entries, bool whole, bool saved);
+  void rename(const std::vector<Entry> &entries);
+  void observeGroups();
   void round();
   Ns now() const { return sched_.now(); }
 
   sched::Scheduler &sched_;
   log::Log &log_;
   Guard guard_;
+  sources::Sources *sources_ = nullptr; // none: the list alone
+  preference::Preference preference_;
+  std::knuth_b groupChance_;
   std::deque<Target> targets_;
   std::unordered_map<std::string, Target *> byName_;
   std::unordered_map<const Node *, Target *> byNode_;
--- a/src/nodes/pool.cpp
+++ b/src/nodes/pool.cpp
@@ -174,7 +174,7 @@
   if (!pg::takeText(body, name) || !pg::takeText(body, value) || name != "load") return;
   out.loads = readLoads(value, loadNames_);
   if (out.loads.empty() && !loadNames_.empty() && !std::exchange(lacking_, true))
-    log_.warning("a load report lacks a field or can't be read: ", value.substr(0, 100));
+    log_.warning("a load report lacks a field or can't be read", {{"report", value.substr(0, 100)}});
 }
 
 // Guards against a second copy of an answer, or noise, that comes behind it: an empty query has no effect,
--- /dev/null
+++ b/src/program/check.h
@@ -0,0 +1,12 @@
+// `myrtlehead check`: whether files would be taken, without serving.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace myrtlehead::program {
+
+// Writes what is wrong to standard output, a line each or one JSON object. 0: nothing; 1: something.
+int check(const std::vector<std::string> &files, bool json);
+
+} // namespace myrtlehead::program
--- /dev/null
+++ b/src/program/installation/installation.cpp
@@ -0,0 +1,287 @@
+#include "program/installation/installation.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <sstream>
+
+#define TOML_HEADER_ONLY 0
+#include <toml++/toml.h>
+
+namespace myrtlehead::setup {
+
+namespace {
+
+using sched::Ns;
+constexpr Ns kMs = 1'000'000, kSec = 1'000'000'000, kDay = 86'400 * kSec;
+constexpr std::size_t kMostText = 1 << 20, kMostSets = 64, kMostServers = 16;
+
+std::string shown(const toml::node &node) {
+  std::ostringstream out;
+  node.visit([&](const auto &value) { out << value; });
+  auto text = out.str();
+  std::replace(text.begin(), text.end(), '\n', ' ');
+  return text.size() > 60 ? text.substr(0, 57) + "..." : text;
+}
+
+// Changes of one letter each that make one word of the other.
+std::size_t distance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    auto diagonal = std::exchange(row[0], i);
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const auto change = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = std::exchange(row[j], std::min({row[j] + 1, row[j - 1] + 1, change}));
+    }
+  }
+  return row.back();
+}
+
+// One table: each key is asked for once, and what was not asked for is a fault.
+class Reader {
+public:
+  Reader(const toml::table &table, std::string path, std::vector<Fault> &faults)
+      : table_(table), path_(std::move(path)), faults_(faults) {}
+
+  ~Reader() {
+    for (const auto &[key, node] : table_) {
+      const std::string name(key.str());
+      if (std::find(known_.begin(), known_.end(), name) != known_.end()) continue;
+      const auto nearest = std::min_element(known_.begin(), known_.end(), [&](const auto &a, const auto &b) {
+        return distance(name, a) < distance(name, b);
+      });
+      std::string what = "unknown key";
+      if (nearest != known_.end()) what += "; the nearest known key is '" + *nearest + "'";
+      faults_.push_back({static_cast<int>(key.source().begin.line), path_ + name, what});
+    }
+  }
+
+  const toml::node *find(const char *key) {
+    known_.emplace_back(key);
+    return table_.get(key);
+  }
+  void fault(const toml::node &node, const std::string &key, const std::string &expected) {
+    faults_.push_back({static_cast<int>(node.source().begin.line), path_ + key,
+                       "expected " + expected + ", found " + shown(node)});
+  }
+
+  template <class Parse> void word(const char *key, const std::string &expected, Parse parse) {
+    const auto *node = find(key);
+    if (node == nullptr) return;
+    const auto value = node->value_exact<std::string>();
+    if (!value || !parse(*value)) fault(*node, key, expected);
+  }
+  void duration(const char *key, Ns least, Ns most, Ns &out) {
+    const auto told = [](Ns t) {
+      return t % kDay == 0 && t > 0 ? std::to_string(t / kDay) + "d"
+             : t % kSec == 0        ? std::to_string(t / kSec) + "s"
+                                    : std::to_string(t / kMs) + "ms";
+    };
+    const auto expected = "a duration from " + told(least) + " to " + told(most) + " such as \"250ms\"";
+    word(key, expected, [&](const std::string &text) {
+      const auto value = parseDuration(text);
+      if (value) out = *value;
+      return value && *value >= least && *value <= most;
+    });
+  }
+  void whole(const char *key, long least, long most, int &out) {
+    const auto *node = find(key);
+    if (node == nullptr) return;
+    const auto value = node->value_exact<std::int64_t>();
+    if (value && *value >= least && *value <= most)
+      out = static_cast<int>(*value);
+    else
+      fault(*node, key, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+  }
+  const toml::table *table(const char *key) {
+    const auto *node = find(key);
+    if (node == nullptr) return nullptr;
+    if (!node->is_table()) fault(*node, key, "a table");
+    return node->as_table();
+  }
+
+private:
+  const toml::table &table_;
+  std::string path_;
+  std::vector<Fault> &faults_;
+  std::vector<std::string> known_;
+};
+
+void readLog(const toml::table &in, Installation &out, std::vector<Fault> &faults) {
+  Reader r(in, "log.", faults);
+  r.word("level", "debug, info, warning or error, or one for a package such as \"info,nodes=debug\"",
+         [&](const std::string &text) {
+           const auto levels = log::parseLevels(text);
+           if (levels) out.levels = *levels;
+           return levels.has_value();
+         });
+  r.word("form", "text or json", [&](const std::string &text) {
+    out.form = text == "json" ? log::Form::json : log::Form::text;
+    return text == "json" || text == "text";
+  });
+}
+
+void readMetrics(const toml::table &in, Installation &out, std::vector<Fault> &faults) {
+  Reader r(in, "metrics.", faults);
+  r.word("listen", "an address and port such as \"127.0.0.1:9464\"", [&](const std::string &text) {
+    out.metrics = net::parseAddress(text);
+    return out.metrics.has_value();
+  });
+}
+
+void readState(const toml::table &in, Installation &out, std::vector<Fault> &faults) {
+  Reader r(in, "state.", faults);
+  r.word("folder", "the path of a folder", [&](const std::string &text) {
+    out.stateFolder = text;
+    return !text.empty();
+  });
+}
+
+bool validName(std::string_view name) {
+  if (name.ends_with('.')) name.remove_suffix(1);
+  std::size_t label = 0;
+  for (const char c : name) {
+    label = c == '.' ? 0 : label + 1;
+    if (label > 63 || static_cast<unsigned char>(c) <= 0x20 || static_cast<unsigned char>(c) >= 0x7f)
+      return false;
+  }
+  return !name.empty() && name.size() <= 253 && name.find("..") == std::string_view::npos && name[0] != '.';
+}
+
+void readSet(const toml::table &in, const std::string &path, const std::vector<std::string> &zones,
+             names::Naming &out, std::vector<Fault> &faults) {
+  names::NamedSet set;
+  {
+    Reader r(in, path, faults);
+    r.word("name", "a domain name such as \"_pg._tcp.maps.example\"", [&](const std::string &text) {
+      set.name = text;
+      return validName(text);
+    });
+    r.whole("release", 0, 65535, set.release);
+    r.word("zone", "one of the deployment's zones", [&](const std::string &text) {
+      const auto at = std::find(zones.begin(), zones.end(), text);
+      set.zone = at == zones.end() ? -1 : static_cast<int>(at - zones.begin());
+      return zones.empty() || at != zones.end();
+    });
+  }
+  if (set.name.empty())
+    faults.push_back({static_cast<int>(in.source().begin.line), path + "name", "expected, but missing"});
+  out.sets.push_back(std::move(set));
+}
+
+void readSets(Reader &r, const std::vector<std::string> &zones, names::Naming &out,
+              std::vector<Fault> &faults) {
+  const auto *node = r.find("set");
+  if (node == nullptr) return;
+  const auto *sets = node->as_array();
+  if (sets == nullptr || sets->empty() || sets->size() > kMostSets || !sets->is_homogeneous<toml::table>())
+    return r.fault(*node, "set", "1 to 64 tables [[names.set]]");
+  for (std::size_t i = 0; i < sets->size(); ++i)
+    readSet(*sets->get_as<toml::table>(i), "names.set[" + std::to_string(i) + "].", zones, out, faults);
+}
+
+void readServers(Reader &r, names::Naming &out) {
+  const auto *node = r.find("servers");
+  if (node == nullptr) return;
+  const auto *servers = node->as_array();
+  if (servers == nullptr || servers->empty() || servers->size() > kMostServers)
+    return r.fault(*node, "servers", "a list of 1 to 16 addresses");
+  for (const auto &item : *servers) {
+    const auto text = item.value_exact<std::string>();
+    const auto at = text ? net::parseAddress(*text) : std::nullopt;
+    if (at)
+      out.servers.push_back(*at);
+    else
+      r.fault(item, "servers", "an address and port such as \"127.0.0.1:53\"");
+  }
+}
+
+void readNames(const toml::table &in, const std::vector<std::string> &zones, Installation &out,
+               std::vector<Fault> &faults) {
+  auto &naming = out.naming;
+  Reader r(in, "names.", faults);
+  readServers(r, naming);
+  readSets(r, zones, naming, faults);
+  r.duration("start_spread", 0, 600 * kSec, naming.startSpread);
+  r.duration("least_lifetime", 100 * kMs, kDay, naming.resolution.floor);
+  r.duration("most_lifetime", kSec, 7 * kDay, naming.resolution.ceiling);
+  r.duration("stale_most", 0, 30 * kDay, naming.resolution.staleMost);
+  r.duration("loss_hold", 0, 3600 * kSec, naming.prudence.lossHold);
+  r.duration("departed_for", kSec, 7 * kDay, naming.prudence.departedFor);
+  r.whole("subset", 0, 20'000, naming.subset);
+  const int line = static_cast<int>(in.source().begin.line);
+  if (naming.resolution.floor > naming.resolution.ceiling)
+    faults.push_back({line, "names.least_lifetime", "is above most_lifetime"});
+  if (naming.servers.empty() != naming.sets.empty())
+    faults.push_back({line, "names", "expected both 'servers' and [[names.set]], or neither"});
+}
+
+} // namespace
+
+std::optional<Ns> parseDuration(std::string_view text) {
+  double value = 0;
+  const auto r = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (r.ec != std::errc{} || value < 0 || !std::isfinite(value)) return std::nullopt;
+  const std::string_view unit(r.ptr, static_cast<std::size_t>(text.data() + text.size() - r.ptr));
+  constexpr std::pair<std::string_view, double> kUnits[] = {
+      {"ns", 1}, {"us", 1e3}, {"ms", 1e6}, {"s", 1e9}, {"m", 60e9}, {"h", 3600e9}, {"d", 86400e9}};
+  for (const auto &[name, factor] : kUnits)
+    if (name == unit && value * factor <= 100 * 366 * 86400e9) return std::llround(value * factor);
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> parseSize(std::string_view text) {
+  double value = 0;
+  const auto r = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (r.ec != std::errc{} || value < 0 || !std::isfinite(value)) return std::nullopt;
+  const std::string_view unit(r.ptr, static_cast<std::size_t>(text.data() + text.size() - r.ptr));
+  constexpr std::pair<std::string_view, double> kUnits[] = {
+      {"B", 1}, {"KiB", 1024}, {"MiB", 1 << 20}, {"GiB", 1 << 30}};
+  for (const auto &[name, factor] : kUnits)
+    if (name == unit && value * factor <= 1e15) return static_cast<std::uint64_t>(value * factor);
+  return std::nullopt;
+}
+
+std::string text(const std::string &file, const Fault &fault) {
+  return file + (fault.line > 0 ? ":" + std::to_string(fault.line) : "") + ": " +
+         (fault.key.empty() ? "" : fault.key + ": ") + fault.what;
+}
+
+InstallationRead readInstallation(std::string_view text, const std::vector<std::string> &zones) {
+  InstallationRead out;
+  if (text.size() > kMostText) {
+    out.faults.push_back({0, "", "expected at most 1 MiB, found " + std::to_string(text.size()) + " bytes"});
+    return out;
+  }
+  try {
+    const auto root = toml::parse(text);
+    Reader r(root, "", out.faults);
+    if (const auto *t = r.table("log")) readLog(*t, out.installation, out.faults);
+    if (const auto *t = r.table("metrics")) readMetrics(*t, out.installation, out.faults);
+    if (const auto *t = r.table("state")) readState(*t, out.installation, out.faults);
+    if (const auto *t = r.table("names")) readNames(*t, zones, out.installation, out.faults);
+  } catch (const toml::parse_error &e) {
+    out.faults.push_back({static_cast<int>(e.source().begin.line), "", std::string(e.description())});
+  }
+  std::stable_sort(out.faults.begin(), out.faults.end(),
+                   [](const Fault &a, const Fault &b) { return a.line < b.line; });
+  return out;
+}
+
+std::string needsRestart(const Installation &from, const Installation &to) {
+  std::string out;
+  const auto differs = [&](bool is, const char *key) {
+    if (is) out += (out.empty() ? "" : ", ") + std::string(key);
+  };
+  differs(from.form != to.form, "log.form");
+  differs(from.metrics != to.metrics, "metrics.listen");
+  differs(from.stateFolder != to.stateFolder, "state.folder");
+  differs(from.naming.sets != to.naming.sets, "names.set");
+  differs(from.naming.subset != to.naming.subset, "names.subset");
+  differs(!(from.naming.resolution == to.naming.resolution) || !(from.naming.prudence == to.naming.prudence),
+          "names' durations");
+  return out;
+}
+
+} // namespace myrtlehead::setup
--- /dev/null
+++ b/src/program/installation/installation.h
@@ -0,0 +1,45 @@
+// An installation's own settings, in TOML: what the platform's configuration has no place for. Read whole and
+// checked whole; each fault says where it stands, what was expected and what stood there.
+#pragma once
+
+#include "base/log/log.h"
+#include "follow/names/naming.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace myrtlehead::setup {
+
+struct Installation {
+  log::Levels levels;
+  log::Form form = log::Form::text;
+  std::optional<net::Address> metrics; // where they are asked for
+  std::string stateFolder;             // "": nothing is kept
+  names::Naming naming;
+};
+
+struct Fault {
+  int line = 0;    // 1 is the first; 0: the file as a whole
+  std::string key; // "names.set[0].release"
+  std::string what;
+};
+std::string text(const std::string &file, const Fault &fault); // "FILE:LINE: KEY: WHAT"
+
+struct InstallationRead {
+  Installation installation; // of use only where there is no fault
+  std::vector<Fault> faults;
+};
+// `zones`: the deployment's, which a set's zone must name; empty: any is taken for unknown.
+InstallationRead readInstallation(std::string_view text, const std::vector<std::string> &zones);
+
+// The keys that differ and that a running marshal can't take up; "" for none.
+std::string needsRestart(const Installation &from, const Installation &to);
+
+// "250ms", "1.5s", "10m", "1h", "3d" in ns; nullopt: not a duration, or one beyond 100 years.
+std::optional<sched::Ns> parseDuration(std::string_view text);
+// "64MiB", "512KiB", "100B" in bytes.
+std::optional<std::uint64_t> parseSize(std::string_view text);
+
+} // namespace myrtlehead::setup
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,186 +1,116 @@
-// The marshal: reads its configuration, wires the parts together, serves until SIGTERM.
-#include "base/log/log.h"
-#include "follow/catalog/watch.h"
-#include "follow/peers/datagrams.h"
-#include "follow/platform/desk.h"
-#include "front/clients/door.h"
-#include "program/setup/station.h"
+// The command line: what is asked for, and the exit code: 0, 1 (failed) or 2 (usage).
+#include "format/dns/message.h"
+#include "program/check.h"
+#include "program/installation/installation.h"
+#include "program/resolve.h"
+#include "program/serve.h"
 
-#include <algorithm>
-#include <csignal>
+#include <CLI/CLI.hpp>
 #include <cstdlib>
-#include <ctime>
 #include <iostream>
-#include <optional>
-#include <sys/resource.h>
-#include <sys/signalfd.h>
-#include <unistd.h>
 
 namespace {
 
 using namespace myrtlehead;
 
-// The Unix time at which the marshal's clock read nought; read once, so that a step of the machine's clock
-// moves no node's start.
-Ns unixAtZero(Ns now) {
-  timespec t{};
-  clock_gettime(CLOCK_REALTIME, &t);
-  return t.tv_sec * kSec + t.tv_nsec - now;
-}
+constexpr const char *kVersion = MYRTLEHEAD_VERSION;
 
-int descriptorsAllowed(int told) {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return told;
-  return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, static_cast<rlim_t>(told)));
-}
+struct Words {
+  program::Paths paths;
+  std::string log, logForm, output = "text", name, servers, within = "5s";
+  std::vector<std::string> names, files;
+};
 
-// Before the scheduler watches anything, so that no signal falls between.
-int signalDescriptor() {
-  sigset_t set;
-  sigemptyset(&set);
-  sigaddset(&set, SIGTERM);
-  sigaddset(&set, SIGINT);
-  sigaddset(&set, SIGHUP);
-  sigprocmask(SIG_BLOCK, &set, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+log::Levels levelsOf(const std::string &text) {
+  const auto levels = log::parseLevels(text);
+  if (!levels) throw CLI::ValidationError("--log", "'" + text + "' is no level, nor levels by package");
+  return *levels;
 }
 
-// Guards against a file that is read while it is replaced: what can't be decoded is read again for a second.
-sched::Task<std::optional<setup::Station>> readAgain(sched::Scheduler &sched, const char *path,
-                                                     log::Log &log) {
-  std::string why;
-  for (int tries = 0; tries < 10; ++tries) {
-    if (tries > 0) co_await sched.sleep(kSec / 10);
-    try {
-      co_return setup::readStation(setup::readFile(path));
-    } catch (const std::exception &e) {
-      why = e.what();
-    }
+CLI::App *addServe(CLI::App &app, Words &words) {
+  auto *serve = app.add_subcommand("serve", "Serve as one marshal until SIGTERM");
+  for (auto *at : {&app, serve}) {
+    at->add_option("--log", words.log,
+                   "Least level: debug, info, warning, error; by package: info,nodes=debug");
+    at->add_option("--log-form", words.logForm, "Form of log lines")->check(CLI::IsMember({"text", "json"}));
+    at->add_option("--settings", words.paths.settings, "The installation's settings, in TOML");
+    at->add_option("--config", words.paths.configuration, "The platform's configuration, in JSON")
+        ->envname("PROXY_CONFIG");
   }
-  log.error("the new configuration is not taken up: ", why);
-  co_return std::nullopt;
+  return serve;
 }
 
-// What a running marshal takes up: where discovery and the platform are.
-struct Movable {
-  const char *path;
-  const setup::Station &started;
-  catalog::Watch &watch;
-  platform::Desk &desk;
-};
-
-// SIGHUP; one that comes while an earlier one is heeded is not forgotten.
-struct Wish {
-  bool open = false;
-  sched::Signal made;
-};
-
-sched::Task<> takeUp(sched::Scheduler &sched, const Movable &parts, Wish &wish, log::Log &log) {
-  for (;;) {
-    while (!wish.open) co_await sched.wait(wish.made);
-    wish.open = false;
-    const auto station = co_await readAgain(sched, parts.path, log);
-    if (!station) continue;
-    const auto rest = setup::needsRestart(parts.started, *station);
-    if (!rest.empty()) log.warning("needs a restart to take up: ", rest);
-    parts.watch.moveTo(station->discovery);
-    parts.desk.moveTo(station->platform);
-    log.info("took up the configuration: discovery at ", net::text(station->discovery), ", platform at ",
-             net::text(station->platform));
-  }
+CLI::App *addCheck(CLI::App &app, Words &words) {
+  auto *check = app.add_subcommand("check",
+                                   "Decode configurations and settings, and say what is wrong with them");
+  check->add_option("FILE", words.files, "A configuration in JSON or settings in TOML")->required();
+  check->add_option("--output", words.output, "Form of the answer")->check(CLI::IsMember({"text", "json"}));
+  return check;
 }
 
-sched::Task<> heedSignals(sched::Scheduler &sched, net::Socket &signals, clients::Door &door, Wish &wish,
-                          log::Log &log) {
-  for (;;) {
-    signalfd_siginfo info{};
-    const auto got = read(signals.fd(), &info, sizeof info);
-    if (got != sizeof info) {
-      co_await signals.readable({});
-    } else if (info.ssi_signo == SIGHUP) {
-      wish.open = true;
-      wish.made.notify();
-    } else {
-      break;
-    }
-  }
-  log.info("asked to end: answers what it has taken");
-  co_await door.close();
-  log.info("ended");
-  sched.halt();
+CLI::App *addResolve(CLI::App &app, Words &words) {
+  auto *resolve = app.add_subcommand("resolve", "Show the servers that SRV records name");
+  resolve->add_option("NAME", words.names, "SRV names such as _pg._tcp.maps.example")->required();
+  resolve->add_option("--server", words.servers, "Servers of names: ADDRESS:PORT[,...]")->required();
+  resolve->add_option("--within", words.within, "How long to wait for answers")->capture_default_str();
+  resolve->add_option("--output", words.output, "Form of the answer")->check(CLI::IsMember({"text", "json"}));
+  resolve->add_option("--log", words.log, "Least level of log lines");
+  return resolve;
 }
 
-void serve(const char *path, log::Log &log) {
-  const auto station = setup::readStation(setup::readFile(path));
-  sched::Scheduler sched;
-  sched.onThrow = [&](const char *what) { log.error("a coroutine ended early: ", what); };
-  constexpr int kOwn = 8; // standard streams, epoll, and what the library opens
-  net::Descriptors budget(descriptorsAllowed(station.descriptors) - kOwn);
-  Marshal marshal(sched, station.deployment, station.seed, log);
-  catalog::Watch watch(sched, budget, marshal, log, station.discovery, station.zones,
-                       unixAtZero(sched.now()));
-  platform::Desk desk(sched, budget, marshal, log, station.platform, station.routes, station.callWithin);
-  nodes::Pool pool(sched, budget, log, station.connectWithin, station.idleAtMost, station.loadNames,
-                   station.memory / 8); // what a large answer takes in all is below three times it
-  net::Socket signals(sched, budget, signalDescriptor());
-  std::unique_ptr<peers::Datagrams> datagrams;
-  if (station.deployment.peers)
-    datagrams = std::make_unique<peers::Datagrams>(sched, budget, marshal, station.peerListen, station.peers,
-                                                   station.peersAll);
-  if (station.known.kind != json::Value::null && !watch.start(station.known))
-    throw setup::SetupError("the configuration's 'known' is no list of nodes");
-  if (const auto news = platform::readNews(station.news))
-    marshal.news(*news);
-  else if (station.news.kind != json::Value::null)
-    throw setup::SetupError("the configuration's 'platform.news' can't be read");
+int serve(Words &words) {
+  if (!words.log.empty()) words.paths.logLevels = levelsOf(words.log);
+  if (!words.logForm.empty())
+    words.paths.logForm = words.logForm == "json" ? log::Form::json : log::Form::text;
+  if (words.paths.configuration.empty())
+    throw CLI::RequiredError("--config, or PROXY_CONFIG in the environment,");
+  program::serve(words.paths);
+  return 0;
+}
 
-  clients::Door door(sched, budget, marshal, pool, log, station.listen, station.routes, station.routeTimeouts,
-                     station.memory / 8); // what a large req takes in all is below four times it
-  sched.spawn(marshal.tick());
-  sched.spawn(watch.run());
-  sched.spawn(desk.keepOpen());
-  sched.spawn(desk.sendVotes());
-  sched.spawn(desk.readBulletin());
-  sched.spawn(pool.sweep());
-  if (datagrams) {
-    sched.spawn(datagrams->send());
-    sched.spawn(datagrams->receive());
+int resolve(const Words &words) {
+  std::vector<net::Address> servers;
+  for (const auto &item : CLI::detail::split(words.servers, ',')) {
+    const auto at = net::parseAddress(item.find(':') == std::string::npos ? item + ":53" : item);
+    if (!at) throw CLI::ValidationError("--server", "'" + item + "' is no address such as 127.0.0.1:53");
+    servers.push_back(*at);
   }
-  sched.spawn(door.accept());
-  sched.spawn(door.sweep());
-  Wish wish;
-  const Movable parts{path, station, watch, desk};
-  sched.spawn(takeUp(sched, parts, wish, log));
-  sched.spawn(heedSignals(sched, signals, door, wish, log));
-  log.info("marshal ", station.name, " serves ", station.routes.size(), " routes at ",
-           net::text(door.address()));
-  sched.run();
-  sched.endAll(); // before what the coroutines refer to
+  for (const auto &name : words.names)
+    if (!dns::canonical(name)) throw CLI::ValidationError("NAME", "'" + name + "' is no domain name");
+  const auto within = setup::parseDuration(words.within);
+  if (!within) throw CLI::ValidationError("--within", "'" + words.within + "' is no duration such as 5s");
+  return program::resolve(words.names, servers, *within, words.output == "json",
+                          levelsOf(words.log.empty() ? "error" : words.log));
 }
 
 } // namespace
 
 int main(int argc, char **argv) {
-  const std::string level = argc == 3 && std::string(argv[1]) == "--log" ? argv[2] : "info";
-  const auto least = log::parseLevel(level);
-  if ((argc != 1 && argc != 3) || !least || (argc == 3 && std::string(argv[1]) != "--log")) {
-    std::cerr << "usage: PROXY_CONFIG=FILE myrtlehead [--log debug|info|warning|error]\n";
-    return 2;
-  }
-  const char *path = std::getenv("PROXY_CONFIG");
-  if (path == nullptr) {
-    std::cerr << "myrtlehead: PROXY_CONFIG must name the configuration file\n";
-    return 2;
-  }
-  log::LineBuffer lines(STDERR_FILENO);
-  std::ostream out(&lines);
-  log::Log log(out, *least);
+  Words words;
+  CLI::App app("A gateway with a release guard.", "myrtlehead");
+  app.require_subcommand(0, 1);
+  app.footer("Without a sub-command, and with PROXY_CONFIG set or --config given, it serves.\n"
+             "Exit codes: 0 fine, 1 failed, 2 wrong usage.");
+  const auto *served = addServe(app, words);
+  const auto *checked = addCheck(app, words);
+  const auto *resolved = addResolve(app, words);
+  const auto *versioned = app.add_subcommand("version", "Show the version");
   try {
-    serve(path, log);
+    app.parse(argc, argv);
+    if (versioned->parsed()) return std::cout << "myrtlehead " << kVersion << '\n', 0;
+    if (checked->parsed()) return program::check(words.files, words.output == "json");
+    if (resolved->parsed()) return resolve(words);
+    (void)served;
+    return serve(words);
+  } catch (const CLI::CallForHelp &e) {
+    return app.exit(e);
+  } catch (const CLI::CallForAllHelp &e) {
+    return app.exit(e);
+  } catch (const CLI::ParseError &e) {
+    std::cerr << "usage: " << e.what() << "\nRun myrtlehead --help for more.\n";
+    return 2;
   } catch (const std::exception &e) {
     std::cerr << "myrtlehead: " << e.what() << '\n';
     return 1;
   }
-  return 0;
 }
--- /dev/null
+++ b/src/program/resolve.h
@@ -0,0 +1,17 @@
+// `myrtlehead resolve`: what a marshal would make of name records, asked once.
+#pragma once
+
+#include "base/log/log.h"
+#include "base/net/socket.h"
+
+#include <string>
+#include <vector>
+
+namespace myrtlehead::program {
+
+// Writes the servers, their lifetimes and where they come from. 0: some are known; 1: none is, with the
+// cause.
+int resolve(const std::vector<std::string> &names, const std::vector<net::Address> &servers, sched::Ns within,
+            bool json, log::Levels levels);
+
+} // namespace myrtlehead::program
