--- /dev/null
+++ b/lab/dns_server.cpp
@@ -0,0 +1,211 @@
+#include "lab/dns_server.h"
+
+#include <algorithm>
+#include <array>
+#include <ldns/ldns.h>
+#include <stdexcept>
+#include <sys/socket.h>
+
+namespace myrtlehead::lab {
+
+namespace {
+
+struct Free {
+  void operator()(ldns_pkt *p) const { ldns_pkt_free(p); }
+  void operator()(ldns_rr *p) const { ldns_rr_free(p); }
+};
+using Rr = std::unique_ptr<ldns_rr, Free>;
+
+std::string nameText(const ldns_rdf *name) {
+  char *text = ldns_rdf2str(name);
+  std::string out(text);
+  std::free(text);
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return std::tolower(c); });
+  return out;
+}
+
+Rr parse(const std::string &line) {
+  ldns_rr *rr = nullptr;
+  if (ldns_rr_new_frm_str(&rr, line.c_str(), 0, nullptr, nullptr) != LDNS_STATUS_OK)
+    throw std::invalid_argument("not a record: " + line);
+  return Rr(rr);
+}
+
+void push(ldns_pkt *to, ldns_pkt_section section, const Rr &rr) {
+  ldns_pkt_push_rr(to, section, ldns_rr_clone(rr.get()));
+}
+
+} // namespace
+
+struct DnsServer::Zone {
+  std::map<std::string, std::map<std::uint16_t, std::vector<Rr>>> at; // by name and type
+  Rr soa = parse("example. 30 IN SOA ns.example. hostmaster.example. 1 3600 600 86400 2");
+
+  const std::vector<Rr> *find(const std::string &name, std::uint16_t type) const {
+    const auto n = at.find(name);
+    if (n == at.end()) return nullptr;
+    const auto t = n->second.find(type);
+    return t == n->second.end() ? nullptr : &t->second;
+  }
+  // The records, or the aliases on the way to them.
+  void fill(ldns_pkt *out, std::string name, std::uint16_t type, bool additional) const {
+    for (int hops = 0; hops < 12; ++hops) {
+      if (const auto *records = find(name, type)) {
+        for (const auto &rr : *records) push(out, LDNS_SECTION_ANSWER, rr);
+        if (additional && type == LDNS_RR_TYPE_SRV) addAddresses(out, *records);
+        return;
+      }
+      const auto *alias = find(name, LDNS_RR_TYPE_CNAME);
+      if (alias == nullptr) break;
+      push(out, LDNS_SECTION_ANSWER, alias->front());
+      name = nameText(ldns_rr_rdf(alias->front().get(), 0));
+    }
+    if (!at.contains(name)) ldns_pkt_set_rcode(out, LDNS_RCODE_NXDOMAIN);
+    push(out, LDNS_SECTION_AUTHORITY, soa);
+  }
+  void addAddresses(ldns_pkt *out, const std::vector<Rr> &servers) const {
+    for (const auto &srv : servers)
+      if (const auto *a = find(nameText(ldns_rr_rdf(srv.get(), 3)), LDNS_RR_TYPE_A))
+        for (const auto &rr : *a) push(out, LDNS_SECTION_ADDITIONAL, rr);
+  }
+};
+
+DnsServer::DnsServer(net::Scheduler &sched, net::Descriptors &budget, const std::string &at)
+    : sched_(sched), budget_(budget), listener_(net::listenAt(sched, budget, *net::parseAddress(at))),
+      datagrams_(net::datagramsAt(sched, budget, net::localAddress(*listener_))),
+      other_(net::datagramsAt(sched, budget, *net::parseAddress("127.0.0.1:0"))),
+      zone_(std::make_unique<Zone>()) {
+  sched_.spawn(serveUdp());
+  sched_.spawn(serveTcp());
+}
+
+DnsServer::~DnsServer() = default;
+
+void DnsServer::zone(const std::vector<std::string> &lines) {
+  zone_ = std::make_unique<Zone>();
+  for (const auto &line : lines) {
+    auto rr = parse(line);
+    const auto name = nameText(ldns_rr_owner(rr.get()));
+    const auto type = static_cast<std::uint16_t>(ldns_rr_get_type(rr.get()));
+    zone_->at[name][type].push_back(std::move(rr));
+  }
+}
+
+void DnsServer::keep(const std::string &name) { zone_->at[name]; }
+
+// A name that points at itself: the answer's owner is a pointer to its own place.
+static std::string looping(std::string_view query) {
+  std::string out(query.substr(0, 12));
+  out[2] = static_cast<char>(0x80), out[3] = 0;
+  out[5] = out[7] = 1, out[4] = out[6] = 0;
+  out[8] = out[9] = out[10] = out[11] = 0;
+  const auto end = query.find('\0', 12) + 5;
+  out.append(query.substr(12, end - 12));
+  const auto self = static_cast<char>(out.size());
+  out.append({static_cast<char>(0xc0), self, 0, 33, 0, 1, 0, 0, 0, 9, 0, 0});
+  return out;
+}
+
+std::string DnsServer::answer(std::string_view query, bool tcp) {
+  ldns_pkt *raw = nullptr;
+  if (ldns_wire2pkt(&raw, reinterpret_cast<const std::uint8_t *>(query.data()), query.size()) !=
+      LDNS_STATUS_OK)
+    return "";
+  const std::unique_ptr<ldns_pkt, Free> asked(raw);
+  ++queries;
+  overTcp += tcp;
+  times.push_back(sched_.now());
+  if (!tcp && udp == Udp::noise) return "no message at all";
+  if (!tcp && udp == Udp::loops) return looping(query);
+  const std::unique_ptr<ldns_pkt, Free> out(ldns_pkt_new());
+  const auto *question = ldns_rr_list_rr(ldns_pkt_question(asked.get()), 0);
+  ldns_pkt_set_id(out.get(),
+                  static_cast<std::uint16_t>(ldns_pkt_id(asked.get()) + (!tcp && udp == Udp::wrongId)));
+  ldns_pkt_set_qr(out.get(), true);
+  ldns_pkt_set_aa(out.get(), true);
+  auto name = nameText(ldns_rr_owner(question));
+  if (!tcp && udp == Udp::wrongQuestion) {
+    push(out.get(), LDNS_SECTION_QUESTION, [] {
+      ldns_rr *rr = nullptr;
+      ldns_rr_new_question_frm_str(&rr, "other.example. IN SRV", nullptr, nullptr);
+      return Rr(rr);
+    }());
+  } else {
+    Rr same(ldns_rr_clone(question));
+    if (!tcp && udp == Udp::folds) ldns_dname2canonical(ldns_rr_owner(same.get()));
+    push(out.get(), LDNS_SECTION_QUESTION, same);
+  }
+  if (udp == Udp::servfail)
+    ldns_pkt_set_rcode(out.get(), LDNS_RCODE_SERVFAIL);
+  else if (udp == Udp::refused)
+    ldns_pkt_set_rcode(out.get(), LDNS_RCODE_REFUSED);
+  else
+    zone_->fill(out.get(), name, static_cast<std::uint16_t>(ldns_rr_get_type(question)), additional);
+  std::uint8_t *bytes = nullptr;
+  std::size_t size = 0;
+  if (ldns_pkt2wire(&bytes, out.get(), &size) != LDNS_STATUS_OK) return "";
+  std::string wire(reinterpret_cast<const char *>(bytes), size);
+  std::free(bytes);
+  if (!tcp && (udp == Udp::truncate || size > mostUdp)) {
+    wire[2] = static_cast<char>(wire[2] | 2);
+    wire.resize(std::min(wire.size(), mostUdp)); // cut anywhere
+  }
+  return wire;
+}
+
+net::Task<> DnsServer::serveUdp() {
+  std::array<char, 4096> query;
+  for (;;) {
+    net::Address from;
+    socklen_t size = sizeof from.at;
+    const auto n = recvfrom(datagrams_->fd(), query.data(), query.size(), 0, from.raw(), &size);
+    if (n < 0) {
+      co_await datagrams_->readable({});
+      continue;
+    }
+    if (udp == Udp::silent) {
+      ++queries;
+      times.push_back(sched_.now());
+      continue;
+    }
+    const auto bytes = answer({query.data(), static_cast<std::size_t>(n)}, false);
+    const auto &socket = udp == Udp::wrongSource ? *other_ : *datagrams_;
+    if (!bytes.empty()) sendto(socket.fd(), bytes.data(), bytes.size(), 0, from.raw(), from.size());
+  }
+}
+
+net::Task<> DnsServer::serveTcp() {
+  for (;;) {
+    auto socket = net::acceptNow(sched_, budget_, *listener_);
+    if (!socket)
+      co_await listener_->readable({});
+    else if (tcp != Tcp::closed)
+      sched_.spawn(session(std::move(*socket)));
+  }
+}
+
+net::Task<> DnsServer::session(std::unique_ptr<net::Socket> socket) {
+  ++connections;
+  net::Buffer buffer;
+  for (;;) {
+    const auto view = buffer.view();
+    const std::size_t size = view.size() < 2 ? 65536
+                                             : static_cast<unsigned char>(view[0]) << 8 |
+                                                   static_cast<unsigned char>(view[1]);
+    if (view.size() < size + 2) {
+      const auto cause = co_await socket->read(buffer, {});
+      if (cause != net::Cause::none) co_return;
+      continue;
+    }
+    auto bytes = tcp == Tcp::hangs ? "" : answer(view.substr(2, size), true);
+    buffer.consume(size + 2);
+    if (bytes.empty()) continue;
+    const auto length = bytes.size();
+    bytes.insert(bytes.begin(), {static_cast<char>(length >> 8), static_cast<char>(length & 0xff)});
+    if (tcp == Tcp::cuts) bytes.resize(bytes.size() / 2);
+    const auto cause = co_await socket->write(bytes, {});
+    if (cause != net::Cause::none || tcp == Tcp::cuts) co_return;
+  }
+}
+
+} // namespace myrtlehead::lab
--- /dev/null
+++ b/lab/dns_server.h
@@ -0,0 +1,62 @@
+// A scripted server of names on loopback, UDP and TCP on one port: it answers from a zone given as text, and
+// misbehaves as it is told. For tests and the laboratory; it shares no code with the reader of answers.
+#pragma once
+
+#include "base/net/socket.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+struct ldns_struct_rr;
+
+namespace myrtlehead::lab {
+
+class DnsServer {
+public:
+  enum class Udp {
+    normal,
+    silent,
+    truncate,
+    wrongId,
+    wrongQuestion,
+    wrongSource,
+    servfail,
+    refused,
+    noise,
+    folds,
+    loops
+  };
+  enum class Tcp { normal, closed, hangs, cuts };
+
+  DnsServer(net::Scheduler &sched, net::Descriptors &budget, const std::string &at = "127.0.0.1:0");
+  ~DnsServer();
+
+  // Replaces the zone: one record a line in the form of zone files, "s-1.maps.example. 60 IN A 127.0.0.1".
+  void zone(const std::vector<std::string> &lines);
+  void keep(const std::string &name); // NODATA there, not NXDOMAIN, where it has no record
+
+  net::Address address() const { return net::localAddress(*listener_); }
+  Udp udp = Udp::normal;
+  Tcp tcp = Tcp::normal;
+  bool additional = false; // addresses of SRV targets come along
+  std::size_t mostUdp = 1232;
+  int queries = 0, overTcp = 0, connections = 0;
+  std::vector<net::Ns> times; // of the queries
+
+private:
+  struct Zone;
+  net::Task<> serveUdp();
+  net::Task<> serveTcp();
+  net::Task<> session(std::unique_ptr<net::Socket> socket);
+  std::string answer(std::string_view query, bool tcp);
+
+  net::Scheduler &sched_;
+  net::Descriptors &budget_;
+  std::unique_ptr<net::Socket> listener_, datagrams_, other_;
+  std::unique_ptr<Zone> zone_;
+};
+
+} // namespace myrtlehead::lab
--- a/src/decide/resolver/lookup.h
+++ b/src/decide/resolver/lookup.h
@@ -51,10 +51,10 @@
 
 struct Answer {
   Said said = Said::failed;
-  std::vector<dns::Record> records;    // of the type asked for, at the end of the aliases
-  std::vector<dns::Record> additional; // addresses of SRV targets that may be believed
-  Ns lifetime = 0;                     // as the server tells it, unbounded; -1: it tells none
-  std::string why;                     // failed: the last mishap, in a word or two
+  std::vector<dns::Record> records = {};    // of the type asked for, at the end of the aliases
+  std::vector<dns::Record> additional = {}; // addresses of SRV targets that may be believed
+  Ns lifetime = 0;                          // as the server tells it, unbounded; -1: it tells none
+  std::string why = {};                     // failed: the last mishap, in a word or two
 };
 
 class Lookup {
--- a/src/decide/sources/sources.cpp
+++ b/src/decide/sources/sources.cpp
@@ -196,6 +196,20 @@
     if (set.lossSince != 0 && now - set.lossSince >= prudence_.lossHold) believeLoss(set, Word::empty, now);
 }
 
+// What names go on naming stays out on, be their answer as old as it may.
+void Sources::mentionDeparted(Ns now) {
+  if (departed_.empty()) return;
+  for (const auto &set : sets_)
+    for (const auto &[key, known] : set.targets) {
+      const auto host = known.named ? hosts_.find(key.first) : hosts_.end();
+      if (host == hosts_.end()) continue;
+      for (const auto &[address, later] : host->second.addresses) {
+        const auto gone = departed_.find(at(address, key.second));
+        if (gone != departed_.end()) gone->second = now;
+      }
+    }
+}
+
 void Sources::prune(Ns now) {
   const Ns kept = std::max(prudence_.flapLongest, 2 * prudence_.flapHalfLife);
   for (auto &set : sets_) {
@@ -207,6 +221,7 @@
   for (const auto &set : sets_)
     for (const auto &[key, known] : set.targets) hosts_[key.first].wanted = true;
   std::erase_if(hosts_, [](const auto &h) { return !h.second.wanted; });
+  mentionDeparted(now);
   std::erase_if(departed_, [&](const auto &d) { return now - d.second > prudence_.departedFor; });
   std::erase_if(seen_, [&](const auto &s) { return now - s.second.second > prudence_.departedFor; });
   keepLatest(seen_, kMostServers, [](const auto &s) { return s.second; });
@@ -317,7 +332,6 @@
     if (byList.contains(address)) continue;
     const auto gone = departed_.find(address);
     if (gone != departed_.end()) {
-      gone->second = now; // named on: it stays out on
       ++figures_.drainedButNamed;
       continue;
     }
@@ -391,7 +405,7 @@
     for (const auto &[key, known] : set.targets) {
       if (known.dampedSince == 0) continue;
       const double left = std::log2(std::max(penalty(known, now) / prudence_.flapLeast, 1.0));
-      by(now + 1 + static_cast<Ns>(left * static_cast<double>(prudence_.flapHalfLife)));
+      by(now + kMs + static_cast<Ns>(left * static_cast<double>(prudence_.flapHalfLife)));
       by(known.dampedSince + prudence_.flapLongest);
     }
   }
--- a/src/decide/sources/sources.h
+++ b/src/decide/sources/sources.h
@@ -163,6 +163,7 @@
   bool damped(Known &known, Ns now) const;
   double penalty(const Known &known, Ns now) const;
   void expireHolds(Ns now);
+  void mentionDeparted(Ns now);
   void prune(Ns now);
   void selectTargets();
   void offer(const Set &set, const Key &key, const Known &known, Offers &out);
--- a/src/format/dns/message.h
+++ b/src/format/dns/message.h
@@ -32,9 +32,9 @@
   Type type = Type::a;
   std::uint32_t ttl = 0; // seconds
   std::uint16_t priority = 0, weight = 0, port = 0;
-  std::string target;  // of SRV and CNAME
-  std::string address; // of A and AAAA: "10.1.0.18", "[fd00::12]"
-  std::string text;    // of TXT: its strings, one after the other with a blank between
+  std::string target = {};  // of SRV and CNAME
+  std::string address = {}; // of A and AAAA: "10.1.0.18", "[fd00::12]"
+  std::string text = {};    // of TXT: its strings, one after the other with a blank between
 };
 
 enum class Status { ok, noSuchName, failed, refused, other };
@@ -42,8 +42,8 @@
 struct Message {
   bool truncated = false;
   Status status = Status::ok;
-  std::vector<Record> answers, additional;    // of the types above, class IN, in their order
-  std::optional<std::uint32_t> denialSeconds; // RFC 2308: the lesser of the SOA's TTL and MINIMUM
+  std::vector<Record> answers = {}, additional = {}; // of the types above, class IN, in their order
+  std::optional<std::uint32_t> denialSeconds = {};   // RFC 2308: the lesser of the SOA's TTL and MINIMUM
 };
 
 // What a query was; an answer must match it.
--- /dev/null
+++ b/tests/names_test.cpp
@@ -0,0 +1,311 @@
+// Following name records against a scripted server of names on loopback: every way in which it fails or lies.
+#include "follow/names/names.h"
+#include "helpers.h"
+#include "lab/dns_server.h"
+
+#include <filesystem>
+#include <fstream>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <unistd.h>
+
+using namespace myrtlehead;
+using lab::DnsServer;
+
+static const std::string kName = "_pg._tcp.maps.example";
+
+static std::vector<std::string> zone(const std::vector<int> &servers, int ttl = 60) {
+  std::vector<std::string> out;
+  const auto life = " " + std::to_string(ttl) + " IN ";
+  for (const int i : servers) {
+    const auto host = "s-" + std::to_string(i) + ".maps.example.";
+    out.push_back(kName + "." + life + "SRV 0 1 6432 " + host);
+    out.push_back(host + life + "A 127.0.1." + std::to_string(i));
+  }
+  return out;
+}
+
+// A follower with one server of names or more, the waits short.
+struct Follower {
+  explicit Follower(int servers = 1, int release = 3) {
+    for (int i = 0; i < servers; ++i) dns.push_back(std::make_unique<DnsServer>(loop.sched, loop.budget));
+    naming.sets = {{kName, release, -1}};
+    naming.startSpread = 0;
+    naming.resolution.firstWait = 10 * kMs;
+    naming.resolution.backOffLeast = 20 * kMs;
+    naming.resolution.backOffMost = 60 * kMs;
+    naming.resolution.floor = 40 * kMs;
+    naming.prudence.askAgain = 20 * kMs;
+    for (const auto &d : dns) naming.servers.push_back(d->address()), d->zone(zone({1, 2}));
+    begin();
+  }
+  void begin() {
+    names.reset();
+    sources = std::make_unique<sources::Sources>(naming.prudence, naming.resolution.staleMost, 0,
+                                                 subset::Subset(1, 0, 0));
+    names = std::make_unique<names::Names>(loop.sched, loop.budget, *sources, naming, 7, loop.log, counters);
+    names->changed = [this] { set = sources->merged(loop.sched.now()); };
+  }
+  sched::Task<> until(std::size_t servers) {
+    while (set.size() != servers) co_await loop.sched.sleep(kMs);
+  }
+  void run(sched::Task<> body) {
+    loop.sched.spawn(names->run(true));
+    loop.run(std::move(body));
+  }
+  std::string metrics() { return prometheus::TextSerializer().Serialize(registry.Collect()); }
+
+  Loop loop;
+  std::vector<std::unique_ptr<DnsServer>> dns;
+  names::Naming naming;
+  prometheus::Registry registry;
+  names::Counters counters{registry};
+  std::unique_ptr<sources::Sources> sources;
+  std::unique_ptr<names::Names> names;
+  std::vector<Entry> set;
+};
+
+static void serversAreFoundWithTheirAddresses() {
+  Follower b;
+  auto body = [&]() -> sched::Task<> {
+    co_await b.until(2);
+    assert(b.set[0].name == "s-1.maps.example:6432" && b.set[0].address == "127.0.1.1:6432");
+    assert(b.set[0].listing.build == 3 && b.names->settled() && b.dns[0]->queries == 3);
+  };
+  b.run(body());
+  assert(b.loop.lines.str().find("names are followed servers=2") != std::string::npos);
+  assert(b.metrics().find("myrtlehead_names_servers{by=\"set\"} 2") != std::string::npos);
+}
+
+static void addressesThatComeAlongSpareLookUps() {
+  Follower b;
+  b.dns[0]->additional = true;
+  auto body = [&]() -> sched::Task<> { co_await b.until(2); };
+  b.run(body());
+  assert(b.dns[0]->queries == 1);
+}
+
+static void textTellsTheBuildAndSixIsAskedForWhereFourIsNone() {
+  Follower b(1, -1);
+  auto lines = zone({1});
+  lines.push_back("s-1.maps.example. 60 IN TXT \"zone=a\" \"release=9\"");
+  lines.push_back(kName + ". 60 IN SRV 0 1 6432 six.maps.example.");
+  lines.push_back("six.maps.example. 60 IN AAAA ::1");
+  b.dns[0]->zone(lines);
+  auto body = [&]() -> sched::Task<> {
+    co_await b.until(2);
+    while (b.set[0].listing.build != 9) co_await b.loop.sched.sleep(kMs);
+    assert(b.set[1].address == "[::1]:6432" && b.set[1].listing.build == kUnknownBuild);
+  };
+  b.run(body());
+}
+
+// What a server of names does, and how often its neighbour, which is well, must help.
+static void liesAndFaultsAreSurvived() {
+  using enum DnsServer::Udp;
+  for (const auto fault : {silent, wrongId, wrongQuestion, wrongSource, servfail, refused, noise, loops}) {
+    Follower alone, helped(2);
+    alone.dns[0]->udp = helped.dns[0]->udp = fault;
+    auto nothing = [&]() -> sched::Task<> {
+      while (alone.dns[0]->queries < 4) co_await alone.loop.sched.sleep(kMs);
+      assert(alone.set.empty());
+    };
+    alone.run(nothing());
+    auto found = [&]() -> sched::Task<> { co_await helped.until(2); };
+    helped.run(found());
+  }
+  for (const auto fault : {truncate, folds}) {
+    Follower b;
+    b.dns[0]->udp = fault;
+    auto body = [&]() -> sched::Task<> { co_await b.until(2); };
+    b.run(body());
+    assert(b.dns[0]->overTcp == 3 && b.dns[0]->connections == 1); // pipelined on one
+  }
+}
+
+static void truncatedThenNoTcpGoesToTheNextServer() {
+  using enum DnsServer::Tcp;
+  for (const auto fault : {closed, hangs, cuts}) {
+    Follower b(2);
+    b.dns[0]->udp = DnsServer::Udp::truncate;
+    b.dns[0]->tcp = fault;
+    auto body = [&]() -> sched::Task<> { co_await b.until(2); };
+    b.run(body());
+  }
+}
+
+// 64 KB over TCP, which no datagram holds.
+static void aVeryLargeAnswerIsTaken() {
+  Follower b;
+  std::vector<std::string> lines;
+  for (int i = 0; i < 1800; ++i)
+    lines.push_back(kName + ". 60 IN SRV 0 1 " + std::to_string(1000 + i) + " s.maps.example.");
+  lines.push_back("s.maps.example. 60 IN A 127.0.1.1");
+  b.dns[0]->zone(lines);
+  auto body = [&]() -> sched::Task<> { co_await b.until(1800); };
+  b.run(body());
+  assert(b.dns[0]->overTcp == 1);
+}
+
+static void aliasesThatLoopAreAFailure() {
+  Follower b;
+  b.dns[0]->zone({kName + ". 60 IN CNAME a.example.", "a.example. 60 IN CNAME " + kName + "."});
+  auto body = [&]() -> sched::Task<> {
+    while (b.names->lastFailure(0).empty()) co_await b.loop.sched.sleep(kMs);
+    assert(b.names->lastFailure(0) == "too many aliases");
+  };
+  b.run(body());
+}
+
+// TTL 0 is asked for again at the floor, not without end; 2^31 counts as 0.
+static void lifetimesOfNoughtHaveAFloor() {
+  for (const char *ttl : {"0", "2147483648"}) {
+    Follower b;
+    b.dns[0]->additional = true;
+    b.dns[0]->zone(
+        {kName + ". " + ttl + " IN SRV 0 1 6432 s-1.maps.example.", "s-1.maps.example. 600 IN A 127.0.1.1"});
+    auto body = [&]() -> sched::Task<> {
+      co_await b.until(1);
+      co_await b.loop.sched.sleep(400 * kMs);
+    };
+    b.run(body());
+    assert(b.dns[0]->queries >= 8 && b.dns[0]->queries <= 16);
+  }
+}
+
+// Look-ups fail in the middle: the last good answer serves on, its staleness is told, and it is taken up
+// again.
+static void anOutageKeepsTheServers() {
+  Follower b;
+  b.dns[0]->zone(zone({1, 2}, 0));
+  auto body = [&]() -> sched::Task<> {
+    co_await b.until(2);
+    b.dns[0]->udp = DnsServer::Udp::servfail;
+    while (b.sources->figures().staleSets == 0) co_await b.loop.sched.sleep(kMs);
+    co_await b.loop.sched.sleep(200 * kMs);
+    assert(b.set.size() == 2);
+    b.dns[0]->udp = DnsServer::Udp::normal;
+    b.dns[0]->zone(zone({1, 2, 3}, 0));
+    co_await b.until(3);
+  };
+  b.run(body());
+  const auto lines = b.loop.lines.str();
+  assert(lines.find("names are stale servers=2") != std::string::npos);
+  assert(b.metrics().find("myrtlehead_names_lookups_total{result=\"failed\"}") != std::string::npos);
+}
+
+static void halfVanishingIsAskedForAgainAndThenBelieved() {
+  Follower b;
+  b.dns[0]->zone(zone({1, 2, 3, 4, 5, 6}));
+  b.naming.resolution.ceiling = 50 * kMs;
+  b.begin();
+  auto body = [&]() -> sched::Task<> {
+    co_await b.until(6);
+    b.dns[0]->zone(zone({1, 2}));
+    while (b.sources->figures().held == 0) co_await b.loop.sched.sleep(kMs);
+    assert(b.set.size() == 6);
+    co_await b.until(2);
+  };
+  b.run(body());
+  assert(b.loop.lines.str().find("a sudden loss is held servers=6") != std::string::npos);
+}
+
+// All servers dark from the start: with a kept state it is served from, without there is nothing, and both
+// say so.
+static void aStartInTheDarkServesFromWhatWasKept() {
+  const auto path =
+      (std::filesystem::temp_directory_path() / ("myrtlehead-names-" + std::to_string(getpid()))).string();
+  {
+    Follower b;
+    assert(!b.names->keepIn(path, {"names", "n0", 1}, 1'700'000'000 * kSec));
+    auto body = [&]() -> sched::Task<> { co_await b.until(2); };
+    b.run(body());
+    b.names->saveNow();
+  }
+  {
+    Follower b;
+    b.dns[0]->udp = DnsServer::Udp::silent;
+    assert(b.names->keepIn(path, {"names", "n0", 1}, 1'700'000'000 * kSec));
+    auto body = [&]() -> sched::Task<> {
+      co_await b.until(2);
+      b.dns[0]->udp = DnsServer::Udp::normal;
+      b.dns[0]->zone(zone({1, 2, 3}));
+      co_await b.until(3);
+    };
+    b.run(body());
+    assert(b.set[2].listing.start != 0 && b.set[0].listing.start == 0); // new to us, and cold
+    assert(b.loop.lines.str().find("kept state of names is served") != std::string::npos);
+  }
+  {
+    Follower b;
+    std::ofstream(path) << "myrtlehead names of 'n0', format 0, 1 bytes, xxh3 0\nx";
+    assert(!b.names->keepIn(path, {"names", "n0", 1}, 1'700'000'000 * kSec));
+    assert(b.loop.lines.str().find("it has format 0") != std::string::npos);
+    auto body = [&]() -> sched::Task<> { co_await b.until(2); };
+    b.run(body());
+  }
+  for (const char *end : {"", ".refused"}) std::filesystem::remove(path + end);
+}
+
+static void serversOfNamesMoveWithoutALoss() {
+  Follower b(2);
+  b.naming.resolution.ceiling = 50 * kMs;
+  b.naming.servers.resize(1);
+  b.begin();
+  auto body = [&]() -> sched::Task<> {
+    co_await b.until(2);
+    b.dns[0]->udp = DnsServer::Udp::silent;
+    b.dns[1]->zone(zone({1, 2, 3}));
+    b.names->serversMoved({b.dns[1]->address()});
+    co_await b.until(3);
+  };
+  b.run(body());
+}
+
+// A hundred marshals that start in one instant with something to serve from: their first look-ups are spread.
+static void manyStartsAreSpread() {
+  const auto most = [](Ns spread) {
+    Loop loop;
+    DnsServer dns(loop.sched, loop.budget);
+    dns.additional = true;
+    dns.zone(zone({1, 2}));
+    names::Naming naming;
+    naming.servers = {dns.address()};
+    naming.sets = {{kName, 3, -1}};
+    naming.startSpread = spread;
+    prometheus::Registry registry;
+    names::Counters counters(registry);
+    std::deque<sources::Sources> all;
+    std::deque<names::Names> marshals;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+      all.emplace_back(naming.prudence, naming.resolution.staleMost, 0, subset::Subset(1, 0, 0));
+      marshals.emplace_back(loop.sched, loop.budget, all.back(), naming, i, loop.log, counters);
+      loop.sched.spawn(marshals.back().run(true));
+    }
+    auto body = [&]() -> sched::Task<> { co_await loop.sched.sleep(1500 * kMs); };
+    loop.run(body());
+    assert(dns.queries == 100);
+    int out = 0;
+    for (const auto t : dns.times)
+      out = std::max(out, static_cast<int>(std::count_if(dns.times.begin(), dns.times.end(),
+                                                         [&](Ns o) { return o >= t && o < t + 100 * kMs; })));
+    return out;
+  };
+  assert(most(0) > 90 && most(kSec) < 30);
+}
+
+int main() {
+  serversAreFoundWithTheirAddresses();
+  addressesThatComeAlongSpareLookUps();
+  textTellsTheBuildAndSixIsAskedForWhereFourIsNone();
+  liesAndFaultsAreSurvived();
+  truncatedThenNoTcpGoesToTheNextServer();
+  aVeryLargeAnswerIsTaken();
+  aliasesThatLoopAreAFailure();
+  lifetimesOfNoughtHaveAFloor();
+  anOutageKeepsTheServers();
+  halfVanishingIsAskedForAgainAndThenBelieved();
+  aStartInTheDarkServesFromWhatWasKept();
+  serversOfNamesMoveWithoutALoss();
+  manyStartsAreSpread();
+}
--- /dev/null
+++ b/tests/sources_test.cpp
@@ -0,0 +1,373 @@
+// The rule where list and names meet: the table of docs/dns-srv.md walked whole, the rules beside it one by
+// one, and what must hold after any sequence of answers, by chance (RapidCheck).
+#include "decide/sources/sources.h"
+
+#include <algorithm>
+#include <cassert>
+#include <optional>
+#include <rapidcheck.h>
+
+using namespace myrtlehead;
+using namespace myrtlehead::sources;
+
+constexpr Ns kNow = 1000 * kSec, kTtl = 60 * kSec, kStaleMost = 3600 * kSec;
+
+struct Bed {
+  explicit Bed(int release = 3, int size = 0, int marshals = 1)
+      : sources({}, kStaleMost, 0, subset::Subset(marshals, 0, size)) {
+    sources.follow("_pg._tcp.maps.example", release, -1);
+  }
+  static std::string host(int i) { return "s-" + std::to_string(i) + ".maps.example"; }
+  static std::string ip(int i) { return "127.0.1." + std::to_string(i); }
+  static std::string address(int i) { return ip(i) + ":6432"; }
+  bool names(const std::vector<int> &servers, Word word = Word::records) {
+    std::vector<Target> targets;
+    for (const int i : servers) targets.push_back({host(i), 6432, 0, 1});
+    const bool again = sources.named(0, word, targets, now + kTtl, now);
+    for (const int i : servers) sources.resolved(host(i), Word::records, {ip(i)});
+    return again;
+  }
+  void list(const std::vector<std::pair<int, Mode>> &servers, bool whole = true) {
+    std::vector<Entry> entries;
+    for (const auto &[i, mode] : servers)
+      entries.push_back({"n" + std::to_string(i), address(i), {.build = 3, .mode = mode}});
+    sources.listed(entries, whole, now);
+  }
+  std::optional<Entry> find(int i) {
+    for (const auto &e : sources.merged(now))
+      if (e.address == address(i)) return e;
+    return std::nullopt;
+  }
+  bool serves(int i) {
+    const auto e = find(i);
+    return e && e->listing.mode == Mode::ready;
+  }
+  Sources sources;
+  Ns now = kNow;
+};
+
+// Server 1 is the one looked at; server 2, where there is one, keeps the set from being empty.
+enum class ByList { inService, leaving, gone, silent, downInService, downLeaving, none };
+enum class ByNames { present, stale, absent, expired, denied, never };
+enum class Holds { use, drain, out, lastResort };
+
+static void told(Bed &b, ByNames state, bool other) {
+  const std::vector<int> both = other ? std::vector<int>{1, 2} : std::vector<int>{1};
+  if (state == ByNames::never) return (void)b.names({}, Word::failed);
+  b.names(both);
+  b.sources.merged(b.now);
+  if (state == ByNames::stale) b.now += kTtl + kSec;
+  if (state == ByNames::expired) b.now += kTtl + kStaleMost + kSec;
+  if (state == ByNames::absent) b.names({2});
+  if (state == ByNames::denied)
+    for (int i = 0; i < 3; ++i) b.names({}, Word::denied), b.now += kSec;
+}
+
+static void told(Bed &b, ByList state, bool other) {
+  std::vector<std::pair<int, Mode>> rest;
+  if (other) rest.push_back({3, Mode::ready});
+  const auto with = [&](Mode mode) {
+    auto all = rest;
+    all.push_back({1, mode});
+    b.list(all);
+  };
+  switch (state) {
+  case ByList::inService:
+    return with(Mode::ready);
+  case ByList::leaving:
+    return with(Mode::draining);
+  case ByList::gone:
+    return with(Mode::ready), b.list(rest);
+  case ByList::silent:
+    return b.list(rest);
+  case ByList::downInService:
+    return with(Mode::ready), b.sources.listFailed();
+  case ByList::downLeaving:
+    return with(Mode::draining), b.sources.listFailed();
+  case ByList::none:
+    return;
+  }
+}
+
+static void theTableHolds() {
+  using enum Holds;
+  const Holds table[7][6] = {
+      // present, stale, absent, expired, denied, never
+      {use, use, use, use, use, use},               // in service
+      {drain, drain, drain, drain, drain, drain},   // leaving
+      {out, out, out, out, out, out},               // gone
+      {use, use, out, lastResort, lastResort, out}, // silent
+      {use, use, use, use, use, use},               // down, last in service
+      {drain, drain, drain, drain, drain, drain},   // down, last leaving
+      {use, use, out, lastResort, lastResort, out}, // none
+  };
+  for (int l = 0; l < 7; ++l)
+    for (int n = 0; n < 6; ++n)
+      for (const bool other : {false, true}) {
+        const auto names = static_cast<ByNames>(n);
+        const auto list = static_cast<ByList>(l);
+        if (names == ByNames::absent && !other) continue; // a loss of all is another row
+        for (const bool listFirst : {false, true}) {
+          Bed b;
+          if (listFirst) told(b, list, other);
+          told(b, names, other);
+          if (!listFirst) told(b, list, other);
+          const auto e = b.find(1);
+          // Where others serve, a last resort stays out. Server 3 is the list's, 2 the names'.
+          const bool others = other && (list != ByList::none || names == ByNames::present ||
+                                        names == ByNames::stale || names == ByNames::absent);
+          auto holds = table[l][n];
+          if (holds == lastResort) holds = others ? out : use;
+          assert((holds == use) == (e && e->listing.mode == Mode::ready));
+          assert((holds == drain) == (e && e->listing.mode == Mode::draining));
+        }
+      }
+}
+
+static void whatTheListHasLetGoStaysOut() {
+  Bed b;
+  b.names({1, 2, 3});
+  b.list({{1, Mode::draining}, {2, Mode::ready}});
+  b.list({{2, Mode::ready}});
+  for (int i = 0; i < 200; ++i, b.now += 600 * kSec) { // named again and again, for over a day
+    b.names(i % 2 == 0 ? std::vector<int>{1, 2, 3} : std::vector<int>{2, 3});
+    assert(!b.serves(1) && b.serves(2));
+  }
+  b.now += 3601 * kSec; // forgotten an hour after both have fallen silent about it
+  b.names({2, 3}), b.sources.merged(b.now);
+  b.names({1, 2, 3});
+  assert(b.serves(1));
+  b.list({{1, Mode::draining}, {2, Mode::ready}});
+  b.list({{1, Mode::ready}, {2, Mode::ready}}); // the list itself takes it back
+  assert(b.serves(1));
+}
+
+static void aSuddenLossIsHeldUntilConfirmed() {
+  Bed b;
+  b.names({1, 2, 3, 4, 5, 6});
+  assert(b.names({1, 2, 7}) && b.serves(3) && b.serves(7)); // what it adds counts at once
+  assert(b.sources.figures().held == 4);
+  assert(b.names({1, 2, 7}) && b.serves(3));
+  assert(!b.names({1, 2, 7}) && !b.serves(3) && b.serves(1));
+  Bed back; // the second answer has them again: nothing happened
+  back.names({1, 2, 3, 4});
+  assert(back.names({1}) && !back.names({1, 2, 3, 4}) && back.names({1}) && back.names({1}) &&
+         back.serves(4));
+  Bed timed; // no third answer comes: bounded in time
+  timed.names({1, 2, 3, 4});
+  timed.names({1});
+  assert(timed.sources.nextChange(timed.now) == timed.now + 30 * kSec);
+  timed.now += 30 * kSec;
+  assert(!timed.serves(4) && timed.serves(1));
+  Bed few; // an ordinary change
+  few.names({1, 2, 3});
+  assert(!few.names({1}) && !few.serves(2));
+}
+
+static void theFourWaysDiffer() {
+  const auto after = [](Word word, int answers) {
+    Bed b;
+    b.names({1, 2});
+    for (int i = 0; i < answers; ++i) b.names({}, word);
+    b.list({{3, Mode::ready}});
+    return b.serves(1);
+  };
+  assert(after(Word::failed, 100));
+  assert(after(Word::denied, 2) && !after(Word::denied, 3));
+  assert(after(Word::empty, 2) && !after(Word::empty, 3));
+  assert(after(Word::notAvailable, 1) && !after(Word::notAvailable, 2));
+  Bed alone; // denied, and nothing else is left: as a last resort, for a bounded time
+  alone.names({1, 2});
+  for (int i = 0; i < 3; ++i) alone.names({}, Word::denied);
+  assert(alone.serves(1) && alone.sources.figures().lastResort);
+  alone.now += kStaleMost + kSec;
+  assert(!alone.serves(1));
+  Bed decided; // "decidedly not available" leaves none
+  decided.names({1, 2});
+  for (int i = 0; i < 2; ++i) decided.names({}, Word::notAvailable);
+  assert(!decided.serves(1));
+}
+
+static void flappingIsDamped() {
+  Bed b;
+  b.names({1, 2, 3});
+  for (int i = 0; i < 3; ++i) b.names({2, 3}), b.names({1, 2, 3}), b.now += kSec;
+  assert(b.serves(1)); // three returns are borne
+  b.names({2, 3}), b.names({1, 2, 3});
+  assert(!b.serves(1) && b.sources.figures().damped == 1 && b.serves(2));
+  const Ns since = b.now;
+  while (!b.serves(1) && b.now - since < 300 * kSec) b.now = b.sources.nextChange(b.now), b.names({1, 2, 3});
+  assert(b.now - since > 60 * kSec && b.now - since < 180 * kSec);
+  Bed alone; // never where that leaves none
+  alone.names({1});
+  for (int i = 0; i < 9; ++i) {
+    for (int n = 0; n < 3; ++n) alone.names({}, Word::empty);
+    alone.names({1});
+  }
+  assert(alone.serves(1));
+}
+
+static void firstSightTellsColdFromThere() {
+  Bed b;
+  b.names({1, 2});
+  assert(b.find(1)->listing.start == 0); // there before we looked
+  b.now += 10 * kSec;
+  b.names({1, 2, 4});
+  assert(b.find(4)->listing.start == b.now && b.find(1)->listing.start == 0);
+  b.sources.resolved(Bed::host(2), Word::records, {"127.0.2.2"}); // moved: another server
+  const auto all = b.sources.merged(b.now);
+  const auto moved = std::find_if(all.begin(), all.end(),
+                                  [](const Entry &e) { return e.address == "127.0.2.2:6432"; });
+  assert(moved != all.end() && moved->listing.start == b.now);
+}
+
+static void buildsComeFromListTextOrSettings() {
+  assert(releaseIn("zone=a release=12") == 12 && releaseIn("release=x") == -1 &&
+         releaseIn("release=70000") == -1);
+  assert(releaseIn("prerelease=1") == -1 && releaseIn("release=1 release=2") == 1);
+  Bed unknown(-1);
+  unknown.names({1});
+  assert(unknown.find(1)->listing.build == kUnknownBuild && unknown.sources.figures().unknownBuild == 1);
+  unknown.sources.told(Bed::host(1), 8);
+  assert(unknown.find(1)->listing.build == 8);
+  unknown.list({{1, Mode::ready}}); // the list says 3
+  assert(unknown.find(1)->listing.build == 3 && unknown.sources.figures().buildsDiffer == 1);
+  assert(Bed(3).names({1}) == false);
+}
+
+static void oneAddressWithTwoNamesIsOneServer() {
+  Bed b;
+  b.names({1});
+  b.list({{1, Mode::ready}});
+  const auto all = b.sources.merged(b.now);
+  assert(all.size() == 1 && all[0].name == "n1" && b.sources.figures().twoNames == 1);
+  b.sources.named(0, Word::records, {{Bed::host(1), 6432, 0, 1}, {"other.maps.example", 6432, 1, 1}},
+                  b.now + kTtl, b.now);
+  b.sources.resolved("other.maps.example", Word::records, {Bed::ip(1)});
+  assert(b.sources.merged(b.now).size() == 1);
+}
+
+static void hostsMayHaveSeveralAddressesAndLoseThemSlowly() {
+  Bed b;
+  b.names({1});
+  b.sources.resolved(Bed::host(1), Word::records,
+                     {"127.0.3.5", "127.0.3.4", "127.0.3.1", "127.0.3.2", "127.0.3.3"});
+  assert(b.sources.merged(b.now).size() == kMostAddresses);
+  assert(b.sources.resolved(Bed::host(1), Word::failed, {}) == false && b.sources.merged(b.now).size() == 4);
+  assert(b.sources.resolved(Bed::host(1), Word::denied, {}) &&
+         b.sources.resolved(Bed::host(1), Word::denied, {}));
+  assert(!b.sources.resolved(Bed::host(1), Word::denied, {}) && b.sources.merged(b.now).empty());
+  assert(b.sources.figures().unresolved > 0);
+}
+
+static void prioritiesMakeGroupsAndWeightsParts() {
+  Bed b;
+  b.sources.named(0, Word::records,
+                  {{Bed::host(1), 6432, 10, 100},
+                   {Bed::host(2), 6432, 10, 25},
+                   {Bed::host(3), 6432, 10, 0},
+                   {Bed::host(4), 6432, 20, 0}},
+                  b.now + kTtl, b.now);
+  for (int i = 1; i <= 4; ++i) b.sources.resolved(Bed::host(i), Word::records, {Bed::ip(i)});
+  b.list({{5, Mode::ready}});
+  assert(b.find(1)->listing.tier == 0 && b.find(1)->listing.weight == 1 && b.find(2)->listing.weight == 0.25);
+  assert(b.find(3)->listing.weight == 0.01 && b.find(4)->listing.tier == 1 && b.find(4)->listing.weight == 1);
+  assert(b.find(5)->listing.tier == 0 && b.find(5)->listing.weight == 1 && b.sources.figures().groups == 2);
+}
+
+static void aLifeTakesUpWhereTheLastOneEnded() {
+  Bed b;
+  b.names({1, 2, 3});
+  b.now += 5 * kSec;
+  b.names({1, 2, 3, 4});
+  b.list({{2, Mode::draining}, {5, Mode::ready}});
+  b.sources.merged(b.now);
+  Bed next;
+  next.now = b.now + 100 * kSec;
+  next.sources.restore(b.sources.past(), next.now);
+  assert(next.serves(1) && !next.serves(2) && next.serves(5) && next.sources.figures().listDown);
+  assert(next.find(4)->listing.start == b.now); // as cold as it was
+  next.names({1, 3, 4, 6});
+  assert(next.find(6)->listing.start == next.now && next.find(1)->listing.start == 0);
+  Bed other; // a snapshot of names that are not followed is no use, and no harm
+  other.sources = Sources({}, kStaleMost, 0, subset::Subset(1, 0, 0));
+  other.sources.follow("_pg._tcp.other.example", 1, -1);
+  other.sources.restore(b.sources.past(), next.now);
+  assert(!other.serves(1) && other.serves(5));
+}
+
+static void tablesStayBounded() {
+  Bed b;
+  for (int i = 0; i < 30; ++i, b.now += 700 * kSec) {
+    std::vector<Entry> entries;
+    for (int n = 0; n < 2000; ++n) {
+      const auto id = std::to_string(i * 2000 + n);
+      entries.push_back({"n" + id, "10.0.0.1:" + id, {.build = 1}});
+    }
+    b.sources.listed(entries, true, b.now);
+    b.sources.merged(b.now);
+  }
+  const auto past = b.sources.past();
+  assert(past.listed.size() == 2000 && past.departed.size() <= kMostServers);
+  b.now += 3601 * kSec, b.sources.merged(b.now);
+  assert(b.sources.past().departed.empty());
+}
+
+// After any sequence of what list and names may say:
+static void whatHoldsAfterAnything() {
+  const bool ok = rc::check("list and names in any order", [] {
+    Bed b;
+    std::vector<bool> draining(9, false); // by the list's last word
+    bool everNamed = false, onlyFailed = true;
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1 << 16));
+    for (const int step : steps) {
+      const int what = step % 8, who = 1 + step / 8 % 8;
+      const auto some = [&] {
+        std::vector<int> out;
+        for (int i = 1; i <= 8; ++i)
+          if ((step >> 3 >> (i - 1) & 1) != 0) out.push_back(i);
+        return out;
+      }();
+      b.now += (step % 97) * kSec;
+      if (what <= 2 && !some.empty()) b.names(some), everNamed = true, onlyFailed = true;
+      if (what == 3) b.names({}, Word::failed);
+      if (what == 4) b.names({}, step % 2 == 0 ? Word::denied : Word::notAvailable), onlyFailed = false;
+      if (what == 5) b.list({{who, Mode::draining}}, false), draining[static_cast<std::size_t>(who)] = true;
+      if (what == 6) b.list({{who, Mode::ready}}, false), draining[static_cast<std::size_t>(who)] = false;
+      if (what == 7) b.sources.listFailed();
+      const auto all = b.sources.merged(b.now);
+      std::set<std::string> once;
+      std::size_t ready = 0;
+      for (const auto &e : all) {
+        RC_ASSERT(once.insert(e.address).second);
+        ready += e.listing.mode == Mode::ready;
+        for (int i = 1; i <= 8; ++i)
+          if (e.address == Bed::address(i) && draining[static_cast<std::size_t>(i)])
+            RC_ASSERT(e.listing.mode != Mode::ready);
+      }
+      const bool anyLeft = std::find(draining.begin() + 1, draining.end(), false) != draining.end();
+      // Look-ups that only fail take nothing away: what the last good answer left is served, stale or as a
+      // last resort.
+      if (everNamed && onlyFailed && anyLeft && std::count(draining.begin(), draining.end(), true) == 0)
+        RC_ASSERT(ready > 0u);
+      RC_ASSERT(b.sources.nextChange(b.now) > b.now);
+    }
+  });
+  assert(ok);
+}
+
+int main() {
+  theTableHolds();
+  whatTheListHasLetGoStaysOut();
+  aSuddenLossIsHeldUntilConfirmed();
+  theFourWaysDiffer();
+  flappingIsDamped();
+  firstSightTellsColdFromThere();
+  buildsComeFromListTextOrSettings();
+  oneAddressWithTwoNamesIsOneServer();
+  hostsMayHaveSeveralAddressesAndLoseThemSlowly();
+  prioritiesMakeGroupsAndWeightsParts();
+  aLifeTakesUpWhereTheLastOneEnded();
+  tablesStayBounded();
+  whatHoldsAfterAnything();
+}
