--- /dev/null
+++ b/fuzz/sources.cpp
@@ -0,0 +1,75 @@
+// Any sequence of what list and names may say; the rules that must hold after each step.
+#include "decide/sources/sources.h"
+
+#include <cstdint>
+#include <cstdlib>
+#include <set>
+
+using namespace myrtlehead;
+using namespace myrtlehead::sources;
+
+namespace {
+
+struct Bytes {
+  const std::uint8_t *at, *end;
+  bool empty() const { return at == end; }
+  int next() { return empty() ? 0 : *at++; }
+};
+
+std::string host(int i) { return "s" + std::to_string(i % 16); }
+std::string ip(int i) { return "10.0.0." + std::to_string(i % 16); }
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) {
+  Bytes in{data, data + std::min<std::size_t>(size, 2000)};
+  Sources s({}, 600 * kSec, 0, subset::Subset(3, 1, in.next() % 4));
+  s.follow("a", 1, -1);
+  s.follow("b", -1, 0);
+  std::set<int> draining;
+  Ns now = kSec;
+  while (!in.empty()) {
+    const int what = in.next();
+    now += in.next() * kSec / 4;
+    const int who = in.next();
+    if (what % 8 < 3) {
+      std::vector<Target> targets;
+      for (int n = who % 8; n > 0; --n) {
+        const int t = in.next();
+        targets.push_back({host(t), 1, t / 64, t % 7});
+      }
+      const auto word = static_cast<Word>(what / 8 % 5);
+      s.named(static_cast<std::size_t>(what / 64 % 2), targets.empty() ? word : Word::records, targets,
+              now + 30 * kSec, now);
+    } else if (what % 8 < 5) {
+      s.resolved(host(who), static_cast<Word>(what / 8 % 5), {ip(in.next()), ip(who)});
+    } else if (what % 8 == 5) {
+      s.told(host(who), in.next() % 4 - 1);
+    } else if (what % 8 == 6) {
+      const auto mode = static_cast<Mode>(what / 8 % 3);
+      s.listed({{"n" + std::to_string(who % 16), ip(who) + ":1", {.build = 1, .mode = mode}}}, false, now);
+      if (mode == Mode::ready)
+        draining.erase(who % 16);
+      else
+        draining.insert(who % 16);
+    } else {
+      s.listFailed();
+      Sources next({}, 600 * kSec, 0, subset::Subset(3, 1, 0));
+      next.follow("a", 1, -1);
+      next.follow("b", -1, 0);
+      next.restore(s.past(), now);
+      s = next; // a new life
+    }
+    std::set<std::string> once;
+    for (const auto &e : s.merged(now)) {
+      if (!once.insert(e.address).second) std::abort(); // each address once
+      for (const int d : draining)
+        if (e.address == ip(d) + ":1" && e.listing.mode == Mode::ready && s.past().departed.empty())
+          std::abort();
+      if (!(e.listing.weight > 0 && e.listing.weight <= 1) || e.listing.tier < 0) std::abort();
+    }
+    if (s.nextChange(now) <= now) std::abort();
+    s.hostsWanted();
+  }
+  return 0;
+}
--- /dev/null
+++ b/lab/process.cpp
@@ -0,0 +1,116 @@
+#include "lab/process.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace myrtlehead::lab {
+
+std::string neighbour(const std::string &name) {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path() / name;
+}
+
+Process::Process(net::Scheduler &sched, net::Descriptors &budget, const std::string &program,
+                 const std::vector<std::string> &arguments, const std::string &logFile)
+    : sched_(sched), file_(logFile) {
+  int fds[2];
+  if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds) != 0)
+    throw std::runtime_error("no socket pair");
+  fcntl(fds[0], F_SETFL, O_NONBLOCK);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, fds[1], 2);
+  std::vector<std::string> words{program};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  std::vector<char *> argv;
+  for (auto &w : words) argv.push_back(w.data());
+  argv.push_back(nullptr);
+  const int failed = posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(fds[1]);
+  log_ = std::make_unique<net::Socket>(sched, budget, fds[0]);
+  if (failed != 0) throw std::runtime_error("can't start " + program);
+  sched_.spawn(read());
+}
+
+Process::~Process() {
+  if (!runs()) return;
+  ::kill(pid_, SIGKILL);
+  waitpid(pid_, &status_, 0);
+}
+
+net::Task<> Process::read() {
+  for (;;) {
+    const auto cause = co_await log_->read(buffer_, {});
+    const auto view = buffer_.view();
+    if (!file_.empty() && !view.empty())
+      std::ofstream(file_, std::ios::app).write(view.data(), static_cast<std::streamsize>(view.size()));
+    all_.append(view);
+    buffer_.consume(view.size());
+    more_.notify();
+    if (cause != net::Cause::none) co_return;
+  }
+}
+
+net::Task<std::string> Process::line(std::string words, net::Until until) {
+  for (;;) {
+    const auto at = all_.find(words);
+    const auto end = at == std::string::npos ? at : all_.find('\n', at);
+    if (end != std::string::npos) {
+      const auto begin = all_.rfind('\n', at);
+      co_return all_.substr(begin + 1, end - begin - 1);
+    }
+    if (!runs()) co_return "";
+    const net::Until soon{std::min(until.at, sched_.now() + 100'000'000), until.stop};
+    co_await sched_.wait(more_, soon);
+    if (sched_.now() >= until.at) co_return "";
+  }
+}
+
+std::size_t Process::lines(std::string_view words) const {
+  std::size_t n = 0;
+  for (auto at = all_.find(words); at != std::string::npos; at = all_.find(words, at + 1)) ++n;
+  return n;
+}
+
+bool Process::runs() {
+  if (!ended_ && waitpid(pid_, &status_, WNOHANG) == pid_) ended_ = true;
+  return !ended_;
+}
+
+void Process::kill(int signal) {
+  if (runs()) ::kill(pid_, signal);
+}
+
+net::Task<int> Process::end(net::Until until) {
+  kill(SIGTERM);
+  while (runs() && sched_.now() < until.at) co_await sched_.sleep(10'000'000);
+  if (runs()) co_return -1;
+  co_return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
+}
+
+Costs costsOf(int pid) {
+  Costs out;
+  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+  std::string text;
+  std::getline(stat, text);
+  std::istringstream rest(text.substr(std::min(text.rfind(')') + 1, text.size())));
+  std::string word;
+  for (int i = 0; rest >> word; ++i)
+    if (i == 11 || i == 12) out.cpuSeconds += std::stod(word) / static_cast<double>(sysconf(_SC_CLK_TCK));
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  while (std::getline(status, text))
+    if (text.starts_with("VmRSS:")) out.residentKb = std::stol(text.substr(6));
+  return out;
+}
+
+} // namespace myrtlehead::lab
--- /dev/null
+++ b/lab/process.h
@@ -0,0 +1,53 @@
+// A marshal as a process of its own, its log kept, its costs read from /proc.
+#pragma once
+
+#include "base/net/socket.h"
+
+#include <string>
+#include <vector>
+
+namespace myrtlehead::lab {
+
+struct Costs {
+  double cpuSeconds = 0;
+  long residentKb = 0;
+};
+
+Costs costsOf(int pid);
+
+class Process {
+public:
+  // Starts `program`; standard error goes to the file and is searched for words on the way.
+  Process(net::Scheduler &sched, net::Descriptors &budget, const std::string &program,
+          const std::vector<std::string> &arguments, const std::string &logFile);
+  ~Process(); // killed, if it still runs
+  Process(const Process &) = delete;
+  Process &operator=(const Process &) = delete;
+
+  // The first line that holds the words, once it is written; "" if the process ends or `until` comes first.
+  net::Task<std::string> line(std::string words, net::Until until);
+  net::Task<int>
+  end(net::Until until); // SIGTERM, then its exit code; -1: it did not end in time, or was killed
+  void kill(int signal);
+  bool runs();
+  Costs costs() const { return costsOf(pid_); }
+  int pid() const { return pid_; }
+  std::size_t lines(std::string_view words) const; // of its log that hold the words
+
+private:
+  net::Task<> read();
+  net::Scheduler &sched_;
+  int pid_ = 0;
+  int status_ = 0;
+  bool ended_ = false;
+  std::unique_ptr<net::Socket> log_;
+  net::Buffer buffer_;
+  std::string all_;
+  sched::Signal more_;
+  std::string file_;
+};
+
+// Where the running program's neighbour of this name stands.
+std::string neighbour(const std::string &name);
+
+} // namespace myrtlehead::lab
--- a/src/follow/names/names.cpp
+++ b/src/follow/names/names.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr Ns kAtOnce = kSec / 4;     // the first look-ups, where there is nothing to serve from
-constexpr Ns kKeepEvery = 10 * kSec; // the state on disk, at most
+constexpr Ns kAtOnce = kSec / 4; // the first look-ups, where there is nothing to serve from
+constexpr Ns kKeepEvery = kSec, kKeepAtLast = 10 * kSec; // the state on disk, at most
 constexpr Ns kLongestPause = 60 * kSec;
 
 Word wordOf(Said said) {
@@ -101,6 +101,7 @@
   else
     settleHost(question, answer);
   changed_ = true;
+  if (answer.said != Said::failed) unkept_ = true;
 }
 
 void Names::settleSet(std::size_t set, const dns::Question &question, const Answer &answer) {
@@ -228,14 +229,18 @@
   return store::seal(kind_, writePast(sources_.past(), unixAtZero_, sched_.now()));
 }
 
+// As soon as no look-up is out, or after a while all the same.
+Ns Names::keepAt(bool whole) const { return keptAt_ + (whole ? kKeepEvery : kKeepAtLast); }
+
 void Names::keep() {
   if (writer_ == nullptr) return;
   if (const auto fault = writer_->lastFault(); !fault.empty())
     log_.warning("the state of names is not kept", {{"why", fault}});
-  if (sched_.now() - keptAt_ < kKeepEvery) return;
-  const bool any = std::any_of(sets_.begin(), sets_.end(),
-                               [&](const auto &q) { return agenda_.goodAt(q) > keptAt_; });
-  if (!any) return;
+  // Guards a next life against half a state: what has no address yet, or no server at all, does not take the
+  // place of what served.
+  const bool whole = agenda_.open() == 0;
+  if (!unkept_ || sources_.figures().servers == 0 || sched_.now() < keepAt(whole)) return;
+  unkept_ = false;
   keptAt_ = sched_.now();
   writer_->put(sealed());
 }
@@ -243,6 +248,7 @@
 void Names::saveNow() {
   if (writer_ == nullptr) return;
   writer_ = nullptr; // what was handed over is saved first
+  if (sources_.figures().servers == 0) return;
   const auto fault = store::save(path_, sealed());
   if (!fault.empty()) log_.warning("the state of names is not kept", {{"why", fault}});
 }
--- a/src/follow/names/names.h
+++ b/src/follow/names/names.h
@@ -51,6 +51,7 @@
   void publish();
   void tellMode(const sources::Figures &now);
   void keep();
+  sched::Ns keepAt(bool whole) const;
   std::string sealed() const;
 
   net::Scheduler &sched_;
@@ -77,6 +78,7 @@
   std::string path_;
   store::Kind kind_;
   sched::Ns unixAtZero_ = 0, keptAt_ = 0;
+  bool unkept_ = false; // something good was told since the state was last kept
 };
 
 } // namespace myrtlehead::names
