--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -4,6 +4,7 @@
 #include "lab/process.h"
 #include "lab/run.h"
 #include "lab/sizes.h"
+#include "lab/starts.h"
 #include "program/setup/station.h"
 
 #include <CLI/CLI.hpp>
@@ -127,6 +128,7 @@
                                    "A toy fleet, a marshal and load in one go: builds offered and judged");
   auto *sizes = app.add_subcommand(
       "sizes", "10,000 servers at 500 marshals: moves, spread of load, time of an update");
+  auto *begun = app.add_subcommand("starts", "Queries of a hundred marshals that start in one instant");
   auto *floors = app.add_subcommand("floor", "CPU a req and added latency beside a bare relay");
   floors->add_option("--runs", w.runs)->check(CLI::Range(1, 100));
   try {
@@ -134,6 +136,7 @@
     if (runs->parsed()) return run(w);
     if (drawn->parsed()) return draw(w);
     if (demos->parsed()) return demo(w);
+    if (begun->parsed()) return lab::starts();
     if (sizes->parsed()) return lab::sizes();
     if (floors->parsed()) return lab::floorMeasure(w.marshal, w.folder, w.runs);
     if (compared->parsed()) return fmt::print("{}", lab::compare(read(w.report), read(w.other))), 0;
--- /dev/null
+++ b/lab/starts.cpp
@@ -0,0 +1,86 @@
+#include "lab/starts.h"
+
+#include "follow/names/names.h"
+#include "lab/dns_server.h"
+
+#include <algorithm>
+#include <deque>
+#include <fmt/format.h>
+#include <prometheus/registry.h>
+#include <sstream>
+
+namespace myrtlehead::lab {
+
+namespace {
+
+constexpr int kMarshals = 100, kServers = 20, kTtl = 10;
+constexpr sched::Ns kMinute = 60'000'000'000;
+
+struct Crowd {
+  Crowd(sched::Scheduler &sched, net::Descriptors &budget, bool jitter, log::Log log) : dns(sched, budget) {
+    std::vector<std::string> zone;
+    for (int i = 0; i < kServers; ++i) {
+      const auto host = fmt::format("s-{}.maps.example.", i);
+      zone.push_back(fmt::format("_pg._tcp.maps.example. {} IN SRV 0 1 6432 {}", kTtl, host));
+      zone.push_back(fmt::format("{} {} IN A 127.0.1.{}", host, kTtl, i + 1));
+    }
+    dns.zone(zone);
+    dns.additional = true;
+    dns.mostUdp = 4096;
+    naming.servers = {dns.address()};
+    naming.sets = {{"_pg._tcp.maps.example", 1, -1}};
+    if (!jitter) {
+      naming.startSpread = 0;
+      naming.resolution.refreshFrom = naming.resolution.refreshTo = 0.85;
+    }
+    for (int i = 0; i < kMarshals; ++i) {
+      sources.emplace_back(naming.prudence, naming.resolution.staleMost, 0, subset::Subset(1, 0, 0));
+      names.emplace_back(sched, budget, sources.back(), naming, static_cast<std::uint64_t>(i), log, counters);
+      sched.spawn(names.back().run(true));
+    }
+  }
+  void print(const char *name, sched::Ns begun) const {
+    std::vector<int> seconds(60);
+    for (const auto t : dns.times)
+      ++seconds[std::min<std::size_t>(static_cast<std::size_t>((t - begun) / 1'000'000'000), 59)];
+    auto sorted = seconds;
+    std::sort(sorted.begin(), sorted.end());
+    fmt::print("{:<16} {:>8} queries, busiest second {:>5}, median {:>4}; first ten seconds:", name,
+               dns.times.size(), sorted.back(), sorted[30]);
+    for (int i = 0; i < 10; ++i) fmt::print(" {}", seconds[static_cast<std::size_t>(i)]);
+    fmt::print("\n");
+  }
+  DnsServer dns;
+  names::Naming naming;
+  prometheus::Registry registry;
+  names::Counters counters{registry};
+  std::deque<sources::Sources> sources;
+  std::deque<names::Names> names;
+};
+
+sched::Task<> waitFor(sched::Scheduler &sched, sched::Ns time) {
+  co_await sched.sleep(time);
+  sched.halt();
+}
+
+} // namespace
+
+int starts() {
+  sched::Scheduler sched;
+  net::Descriptors budget(10'000);
+  std::ostringstream lines;
+  log::Logs logs(lines, log::Form::text, {log::Level::error, {}});
+  const auto begun = sched.now();
+  Crowd with(sched, budget, true, logs.of("names")), without(sched, budget, false, logs.of("names"));
+  sched.spawn(waitFor(sched, kMinute));
+  sched.run();
+  fmt::print(
+      "{} marshals started in one instant, {} servers with addresses along, lifetimes of {} s, one minute\n",
+      kMarshals, kServers, kTtl);
+  with.print("with jitter", begun);
+  without.print("without jitter", begun);
+  sched.endAll();
+  return 0;
+}
+
+} // namespace myrtlehead::lab
--- a/src/decide/resolver/agenda.cpp
+++ b/src/decide/resolver/agenda.cpp
@@ -5,7 +5,6 @@
 namespace myrtlehead::resolver {
 
 namespace {
-constexpr double kRefreshFrom = 0.75, kRefreshTo = 0.95; // of a lifetime
 constexpr double kJitter = 0.25;
 } // namespace
 
@@ -67,7 +66,8 @@
   it.backOff = 0;
   it.goodAt = now;
   it.goodUntil = now + lifetime;
-  plan(item, now + static_cast<Ns>(uniform(kRefreshFrom, kRefreshTo) * static_cast<double>(lifetime)));
+  plan(item,
+       now + static_cast<Ns>(uniform(terms_.refreshFrom, terms_.refreshTo) * static_cast<double>(lifetime)));
   return true;
 }
 
--- a/src/decide/resolver/resolution.h
+++ b/src/decide/resolver/resolution.h
@@ -14,6 +14,7 @@
   Ns firstWait = 400'000'000;                            // for the first answer; doubled for each further try
   int tries = 5;                                         // of one look-up, over all servers
   Ns backOffLeast = 1'000'000'000, backOffMost = 30'000'000'000; // between look-ups that fail
+  double refreshFrom = 0.75, refreshTo = 0.95;                   // of a lifetime, by chance between them
   bool operator==(const Resolution &) const = default;
 };
 
--- a/src/follow/names/names.cpp
+++ b/src/follow/names/names.cpp
@@ -14,6 +14,7 @@
 
 constexpr Ns kAtOnce = kSec / 4; // the first look-ups, where there is nothing to serve from
 constexpr Ns kKeepEvery = kSec, kKeepAtLast = 10 * kSec; // the state on disk, at most
+constexpr Ns kGather = kSec / 4;                         // addresses of the first servers
 constexpr Ns kLongestPause = 60 * kSec;
 
 Word wordOf(Said said) {
@@ -52,15 +53,23 @@
   wantHosts();
   for (;;) {
     while (const auto question = agenda_.take(sched_.now())) sched_.spawn(flight(*question));
-    if (changed_ || sources_.nextChange(publishedAt_) <= sched_.now()) publish();
+    const bool due = changed_ || sources_.nextChange(publishedAt_) <= sched_.now();
+    if (due && !gathering()) publish();
     keep();
     const Ns next = std::min(
         {agenda_.nextAt(), sources_.nextChange(publishedAt_), sched_.now() + kLongestPause});
-    const sched::Until until{next, nullptr};
+    const sched::Until until{gathering() ? std::min(next, gatherUntil_) : next, nullptr};
     co_await sched_.wait(touched_, until);
   }
 }
 
+// Guards the first few servers of a life, whose addresses come first, against the reqs of all.
+bool Names::gathering() {
+  const bool asked = agenda_.open() > 0 || agenda_.nextAt() <= sched_.now();
+  gathered_ = gathered_ || (gatherUntil_ != 0 && (!asked || sched_.now() >= gatherUntil_));
+  return !gathered_;
+}
+
 net::Task<Asked> Names::ask(const resolver::Ask &ask) {
   const net::Until until{sched_.now() + ask.within, nullptr};
   auto &server = *(*servers_)[ask.server];
@@ -120,6 +129,7 @@
   }
   const bool again = sources_.named(set, word, targets, agenda_.goodUntil(question), sched_.now());
   if (again) agenda_.hasten(question, naming_.prudence.askAgain, sched_.now());
+  if (gatherUntil_ == 0) gatherUntil_ = sched_.now() + kGather;
   takeAdditional(answer);
   wantHosts();
 }
@@ -270,6 +280,7 @@
           {{"file", path}, {"why", opened.refusal == store::Opened::none ? "it can't be read" : opened.why}});
     return false;
   }
+  gathered_ = true;
   sources_.restore(*past, sched_.now());
   for (const auto &set : past->sets) {
     const dns::Question question{set.name, dns::Type::srv};
--- a/src/follow/names/names.h
+++ b/src/follow/names/names.h
@@ -48,6 +48,7 @@
   void settleHost(const dns::Question &question, const resolver::Answer &answer);
   void wantHosts();
   void takeAdditional(const resolver::Answer &answer);
+  bool gathering();
   void publish();
   void tellMode(const sources::Figures &now);
   void keep();
@@ -69,7 +70,8 @@
   std::vector<bool> heard_; // by set: answered or failed once
   std::map<std::string, bool> hosts_;
   sched::Signal touched_;
-  bool changed_ = false;
+  bool changed_ = false, gathered_ = false;
+  sched::Ns gatherUntil_ = 0; // of the first answer; 0: none yet
   sched::Ns publishedAt_ = 0;
   sources::Figures mode_;
   bool moded_ = false;
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -151,7 +151,7 @@
   const bool fresh = n.reportedAt > 0 && now - n.reportedAt < kReportLife;
   const double far = n.listing.zone == s.d.zone ? 1 : 1 + kCrossWeight * s.d.crossZonePrice;
   const double queue = 1 + n.inflight + (fresh ? n.reported : 0);
-  return queue * (1 + slow) * far * (1 + kFailWeight * n.failShare) / (warmth(n, now) * n.listing.weight);
+  return queue * (1 + slow) * far * (1 + kFailWeight * n.failShare) / warmth(n, now);
 }
 
 // Guards against nodes that hang or lose their answers, before any try has timed out. Could harm where one
--- a/src/program/resolve.cpp
+++ b/src/program/resolve.cpp
@@ -2,6 +2,7 @@
 
 #include "follow/names/names.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <prometheus/registry.h>
@@ -18,10 +19,6 @@
   sched.halt();
 }
 
-std::string buildOf(const Listing &listing) {
-  return listing.build == kUnknownBuild ? "unknown" : std::to_string(listing.build);
-}
-
 nlohmann::json setOut(const names::Names &names, const std::string &name, std::size_t number, sched::Ns now) {
   const dns::Question question{*dns::canonical(name), dns::Type::srv};
   constexpr const char *kAges[] = {"never", "fresh", "stale", "expired"};
@@ -35,6 +32,30 @@
   return out;
 }
 
+// Each address of each target, as the names tell it.
+nlohmann::json serversOut(const names::Names &names, const sources::Sources &sources, sched::Ns now) {
+  nlohmann::json out = nlohmann::json::array();
+  const auto past = sources.past();
+  for (const auto &set : past.sets)
+    for (const auto &server : set.servers) {
+      const auto host = std::find_if(past.hosts.begin(), past.hosts.end(),
+                                     [&](const auto &h) { return h.name == server.target.host; });
+      const auto until = std::max(names.agenda().goodUntil({server.target.host, dns::Type::a}),
+                                  names.agenda().goodUntil({server.target.host, dns::Type::aaaa}));
+      const auto addresses = host == past.hosts.end() ? std::vector<std::string>{} : host->addresses;
+      for (const auto &address : addresses)
+        out.push_back({{"name", server.target.host},
+                       {"address", address + ":" + std::to_string(server.target.port)},
+                       {"priority", server.target.priority},
+                       {"weight", server.target.weight},
+                       {"build", host->release < 0 ? "unknown" : std::to_string(host->release)},
+                       {"lifetime_left_ms", (std::min(set.goodUntil, until) - now) / kMs},
+                       {"age_ms", (now - set.goodAt) / kMs},
+                       {"source", set.name}});
+    }
+  return out;
+}
+
 void print(const nlohmann::json &out) {
   for (const auto &set : out["sets"]) {
     fmt::print("{}: {}", set["name"].get<std::string>(), set["state"].get<std::string>());
@@ -44,11 +65,13 @@
     fmt::print("\n");
   }
   if (out["servers"].empty()) return;
-  fmt::print("{:<40} {:<28} {:>5} {:>7} {:>8}\n", "SERVER", "ADDRESS", "GROUP", "WEIGHT", "BUILD");
+  fmt::print("{:<36} {:<26} {:>8} {:>6} {:>8} {:>8} {:>6}\n", "SERVER", "ADDRESS", "PRIORITY", "WEIGHT",
+             "BUILD", "LEFT S", "AGE S");
   for (const auto &s : out["servers"])
-    fmt::print("{:<40} {:<28} {:>5} {:>7.2f} {:>8}\n", s["name"].get<std::string>(),
-               s["address"].get<std::string>(), s["group"].get<int>(), s["weight"].get<double>(),
-               s["build"].get<std::string>());
+    fmt::print("{:<36} {:<26} {:>8} {:>6} {:>8} {:>8.1f} {:>6.1f}\n", s["name"].get<std::string>(),
+               s["address"].get<std::string>(), s["priority"].get<int>(), s["weight"].get<int>(),
+               s["build"].get<std::string>(), s["lifetime_left_ms"].get<double>() / 1000,
+               s["age_ms"].get<double>() / 1000);
 }
 
 } // namespace
@@ -74,13 +97,7 @@
   const auto now = sched.now();
   nlohmann::json out{{"sets", nlohmann::json::array()}, {"servers", nlohmann::json::array()}};
   for (std::size_t i = 0; i < asked.size(); ++i) out["sets"].push_back(setOut(names, asked[i], i, now));
-  for (const auto &e : sources.merged(now))
-    out["servers"].push_back({{"name", e.name},
-                              {"address", e.address},
-                              {"group", e.listing.tier},
-                              {"weight", e.listing.weight},
-                              {"build", buildOf(e.listing)},
-                              {"source", "names"}});
+  out["servers"] = serversOut(names, sources, now);
   const bool known = !out["servers"].empty();
   if (json)
     fmt::print("{}\n", out.dump(2));
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -140,6 +140,36 @@
   loop.run(body());
 }
 
+// Names and list make one set: a server that both have keeps its life when the name that leads changes, and a
+// drain by the list stops it at once, whatever names say.
+static void namesAndListMakeOneSet() {
+  Loop loop;
+  Marshal marshal(loop.sched, smallDeployment(), 7, loop.log);
+  sources::Sources sources({}, 3600 * kSec, 0, subset::Subset(1, 0, 0));
+  sources.follow("_pg._tcp.maps.example", 1, -1);
+  marshal.follow(sources);
+  const auto now = loop.sched.now();
+  sources.named(0, sources::Word::records, {{"s-1.maps.example", 6432, 0, 1}}, now + 60 * kSec, now);
+  sources.resolved("s-1.maps.example", sources::Word::records, {"127.0.0.1"});
+  marshal.namesChanged();
+  auto *target = marshal.find("s-1.maps.example:6432");
+  assert(target != nullptr && target->listed);
+  marshal.listed({{"n1", "127.0.0.1:6432", {.build = 1}}}, true, false);
+  assert(marshal.find("n1") == target && marshal.find("s-1.maps.example:6432") == nullptr);
+  auto body = [&]() -> sched::Task<> {
+    sched::Stop stop;
+    Call call(0, 0, kSec, false, loop.sched.now());
+    auto choice = co_await marshal.pick(call, stop);
+    assert(choice.what == Choice::send && choice.target == target && marshal.stillMeant(call));
+    marshal.listed({{"n1", "127.0.0.1:6432", {.build = 1, .mode = Mode::draining}}}, false, false);
+    marshal.namesChanged();
+    assert(!marshal.stillMeant(call) && !target->listed);
+    choice = marshal.report(call, Outcome::notSent);
+    assert(choice.what != Choice::send);
+  };
+  loop.run(body());
+}
+
 static void theWatchIsFollowedAndAskedForAgain() {
   std::vector<std::string> asked;
   auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
@@ -481,6 +511,7 @@
   aTryIsOnlyMeantWhileListAndNewsStand();
   aFormerLifeIsForgotten();
   aHeldReqGoesOutOnceANodeIsListed();
+  namesAndListMakeOneSet();
   theWatchIsFollowedAndAskedForAgain();
   theWatchMovesWithoutAGap();
   aVoteIsAnsweredOrMayCount();
--- a/tests/end_to_end_test.cpp
+++ b/tests/end_to_end_test.cpp
@@ -2,7 +2,9 @@
 // heeded.
 #include "helpers.h"
 
+#include "lab/dns_server.h"
 #include "lab/fleet.h"
+#include "lab/process.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -175,8 +177,80 @@
   assert(fault(taken, {}, "in use") == 1);
 }
 
+static std::vector<std::string> zone(const lab::Fleet &fleet) {
+  return fleet.zone("_pg._tcp.maps.example", 1, false);
+}
+
+// Servers by names alone; SIGHUP moves the server of names, and settings with a fault change nothing.
+static void followsNamesAndTakesUpTheirServers() {
+  Loop loop;
+  const auto any = *net::parseAddress("127.0.0.1:0");
+  lab::Fleet fleet(loop.sched, loop.budget, {any, any, 1, {{"s-1", any}, {"s-2", any}}, {1}});
+  fleet.listsNothing = true;
+  lab::DnsServer first(loop.sched, loop.budget), second(loop.sched, loop.budget);
+  first.zone(zone(fleet)), second.zone(zone(fleet));
+  const auto file = std::string(std::getenv("TMPDIR") != nullptr ? std::getenv("TMPDIR") : "/tmp") +
+                    "/myrtlehead-test-" + std::to_string(getpid()) + ".toml";
+  const auto settings = [&](const std::string &address, const char *more) {
+    std::ofstream(file) << "[names]\nservers = [\"" << address << "\"]\nleast_lifetime = \"100ms\"\n"
+                        << more << "[[names.set]]\nname = \"_pg._tcp.maps.example\"\n";
+  };
+  settings(net::text(first.address()), "");
+  auto child = start(loop, configuration(fleet), {"serve", "--settings", file, "--log", "info,names=debug"});
+  auto body = [&]() -> sched::Task<> {
+    co_await seen(child, "names are followed servers=2");
+    auto client = co_await net::connect(loop.sched, loop.budget, listening(child), {});
+    assert(client);
+    std::string opening;
+    pg::addStartup(opening, "svc", "main");
+    co_await (*client)->write(opening, {});
+    net::Buffer b;
+    while ((co_await ask(**client, b)).find("runs build 1") == std::string::npos)
+      co_await loop.sched.sleep(10 * kMs);
+    settings("nowhere", "");
+    kill(child.pid, SIGHUP);
+    co_await seen(child, "the new settings are not taken up");
+    first.udp = lab::DnsServer::Udp::silent;
+    settings(net::text(second.address()), "stale_most = \"1h\"\n");
+    kill(child.pid, SIGHUP);
+    co_await seen(child, "needs a restart to take up fields=\"names' durations\"");
+    while (second.queries == 0) co_await loop.sched.sleep(10 * kMs);
+    kill(child.pid, SIGTERM);
+    co_await seen(child, "ended");
+  };
+  loop.run(body());
+  assert(exitCode(child) == 0);
+  std::remove(file.c_str());
+}
+
+// `resolve`: 0 and the servers, or 1 and the cause.
+static void resolveShowsServersOrTheCause() {
+  Loop loop;
+  lab::DnsServer dns(loop.sched, loop.budget);
+  dns.zone({"_pg._tcp.maps.example. 60 IN SRV 1 7 6432 s-1.maps.example.",
+            "s-1.maps.example. 30 IN A 127.0.1.1", "s-1.maps.example. 60 IN TXT release=4"});
+  const auto run = [&](const std::string &name, const std::string &expected) -> sched::Task<> {
+    const auto call = std::string(MYRTLEHEAD_PROGRAM) + " resolve " + name + " --output json --server " +
+                      net::text(dns.address()) + " >&2; echo code $? >&2";
+    lab::Process process(loop.sched, loop.budget, "/bin/sh", {"-c", call}, "");
+    const net::Until until{loop.sched.now() + 8 * kSec, nullptr};
+    const auto code = co_await process.line("code ", until);
+    const auto found = co_await process.line(expected, until);
+    assert(code == (name == "_pg._tcp.maps.example" ? "code 0" : "code 1") && !found.empty());
+  };
+  auto body = [&]() -> sched::Task<> {
+    for (const char *expected : {"\"priority\": 1", "\"weight\": 7", "\"build\": \"4\"",
+                                 "\"address\": \"127.0.1.1:6432\"", "\"state\": \"fresh\""})
+      co_await run("_pg._tcp.maps.example", expected);
+    co_await run("_pg._tcp.none.example", "\"cause\": \"no such name\"");
+  };
+  loop.run(body());
+}
+
 int main() {
   badStartsEndWithOneSentence();
   servesThroughARollout();
   takesUpAnotherPlace();
+  followsNamesAndTakesUpTheirServers();
+  resolveShowsServersOrTheCause();
 }
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -167,6 +167,64 @@
   }
 }
 
+// Groups of name records: a req goes to its group, and elsewhere only where its group has nobody.
+static void aReqGoesToItsGroup() {
+  Bed b;
+  b.list({.build = 1, .tier = 1});
+  auto &second = b.node(2);
+  for (int i = 0; i < 50; ++i) {
+    auto first = Bed::req(), spilt = Bed::req();
+    spilt.tier = 1;
+    assert(b.guard.where(first, kNow).node != &second && b.guard.where(spilt, kNow).node == &second);
+  }
+  Bed lone;
+  auto rq = Bed::req();
+  rq.tier = 3; // a group that is gone
+  assert(lone.guard.where(rq, kNow).what == Step::send);
+}
+
+static void weightsShareReqs() {
+  Bed b(smallDeployment(), 0);
+  b.list({.build = 1});
+  b.list({.build = 1, .weight = 0.25});
+  int light = 0;
+  for (int i = 0; i < 1000; ++i) {
+    auto rq = Bed::req();
+    const auto step = b.guard.where(rq, kNow);
+    light += step.node == &b.node(1);
+    b.guard.after(rq, 0, Outcome::completed, kMs, true, kNow);
+  }
+  assert(light > 150 && light < 350); // one in five is 200
+}
+
+// A node whose build names do not tell is on trial for ever: within the first stage's cap, no evidence, and
+// not for a key that may not return to an earlier build.
+static void anUnknownBuildNeverPassesTheCap() {
+  Bed b;
+  b.list({.build = kUnknownBuild});
+  b.node(0).inflight = b.node(1).inflight = 9; // or it would not be needed
+  b.guard.s.credit = {2};
+  int tried = 0;
+  for (int i = 0; i < 400; ++i) {
+    auto rq = Bed::req();
+    const Ns now = kNow + i * 10 * kMs;
+    rq.taken = now, rq.deadline = now + kSec;
+    b.node(0).quietSince = b.node(1).quietSince = now;
+    const auto step = b.guard.where(rq, now);
+    tried += step.node == &b.node(2);
+    b.guard.after(rq, 0, Outcome::completed, kMs, true, now);
+  }
+  assert(tried > 0 && tried <= 2 + 400 * 0.1);
+  for (const auto &c : b.guard.s.channels) assert(c.y == 0 && c.outcomes == 0);
+  auto d = smallDeployment();
+  d.rollout.noReturn = true;
+  Bed keyed(d, 0);
+  keyed.list({.build = kUnknownBuild});
+  auto rq = Bed::req();
+  rq.key = 7;
+  assert(keyed.guard.where(rq, kNow).what != Step::send);
+}
+
 int main() {
   for (auto *test :
        {twoChoicesTakeTheLessLoaded, aFormerLifeIsNotHeldAgainstANode, failingNodeRestsAndComesBack,
@@ -175,4 +233,7 @@
         timeOutsDoNotHideOverload, ownStandstillIsNoNodesFault, lostSubscriptionIsAskedForAgain,
         longWaysAreLeftToOneReqInTwenty})
     test();
+  aReqGoesToItsGroup();
+  weightsShareReqs();
+  anUnknownBuildNeverPassesTheCap();
 }
