Metrics are tested from outside; a stand-in's log outlives its process

Need: the sanitizers found a use after free in the laboratory: who reads a process's log went on after the process object was gone. The log has a life of its own now.

--- a/lab/process.cpp
+++ b/lab/process.cpp
@@ -21,7 +21,7 @@
 
 Process::Process(net::Scheduler &sched, net::Descriptors &budget, const std::string &program,
                  const std::vector<std::string> &arguments, const std::string &logFile)
-    : sched_(sched), file_(logFile) {
+    : sched_(sched) {
   int fds[2];
   if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds) != 0)
     throw std::runtime_error("no socket pair");
@@ -37,9 +37,10 @@
   const int failed = posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   close(fds[1]);
-  log_ = std::make_unique<net::Socket>(sched, budget, fds[0]);
+  log_->file = logFile;
+  log_->socket = std::make_unique<net::Socket>(sched, budget, fds[0]);
   if (failed != 0) throw std::runtime_error("can't start " + program);
-  sched_.spawn(read());
+  sched_.spawn(read(log_));
 }
 
 Process::~Process() {
@@ -48,37 +49,37 @@
   waitpid(pid_, &status_, 0);
 }
 
-net::Task<> Process::read() {
+net::Task<> Process::read(std::shared_ptr<Log> log) {
   for (;;) {
-    const auto cause = co_await log_->read(buffer_, {});
-    const auto view = buffer_.view();
-    if (!file_.empty() && !view.empty())
-      std::ofstream(file_, std::ios::app).write(view.data(), static_cast<std::streamsize>(view.size()));
-    all_.append(view);
-    buffer_.consume(view.size());
-    more_.notify();
+    const auto cause = co_await log->socket->read(log->buffer, {});
+    const auto view = log->buffer.view();
+    if (!log->file.empty() && !view.empty())
+      std::ofstream(log->file, std::ios::app).write(view.data(), static_cast<std::streamsize>(view.size()));
+    log->all.append(view);
+    log->buffer.consume(view.size());
+    log->more.notify();
     if (cause != net::Cause::none) co_return;
   }
 }
 
 net::Task<std::string> Process::line(std::string words, net::Until until) {
   for (;;) {
-    const auto at = all_.find(words);
-    const auto end = at == std::string::npos ? at : all_.find('\n', at);
+    const auto at = log_->all.find(words);
+    const auto end = at == std::string::npos ? at : log_->all.find('\n', at);
     if (end != std::string::npos) {
-      const auto begin = all_.rfind('\n', at);
-      co_return all_.substr(begin + 1, end - begin - 1);
+      const auto begin = log_->all.rfind('\n', at);
+      co_return log_->all.substr(begin + 1, end - begin - 1);
     }
     if (!runs()) co_return "";
     const net::Until soon{std::min(until.at, sched_.now() + 100'000'000), until.stop};
-    co_await sched_.wait(more_, soon);
+    co_await sched_.wait(log_->more, soon);
     if (sched_.now() >= until.at) co_return "";
   }
 }
 
 std::size_t Process::lines(std::string_view words) const {
   std::size_t n = 0;
-  for (auto at = all_.find(words); at != std::string::npos; at = all_.find(words, at + 1)) ++n;
+  for (auto at = log_->all.find(words); at != std::string::npos; at = log_->all.find(words, at + 1)) ++n;
   return n;
 }
 
--- a/lab/process.h
+++ b/lab/process.h
@@ -3,6 +3,7 @@
 
 #include "base/net/socket.h"
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -35,16 +36,18 @@
   std::size_t lines(std::string_view words) const; // of its log that hold the words
 
 private:
-  net::Task<> read();
+  struct Log { // outlives the process for as long as it is read
+    std::unique_ptr<net::Socket> socket;
+    net::Buffer buffer;
+    std::string all, file;
+    sched::Signal more;
+  };
+  static net::Task<> read(std::shared_ptr<Log> log);
   net::Scheduler &sched_;
   int pid_ = 0;
   int status_ = 0;
   bool ended_ = false;
-  std::unique_ptr<net::Socket> log_;
-  net::Buffer buffer_;
-  std::string all_;
-  sched::Signal more_;
-  std::string file_;
+  std::shared_ptr<Log> log_ = std::make_shared<Log>();
 };
 
 // Where the running program's neighbour of this name stands.
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -221,7 +221,10 @@
   }
   if (names)
     sched.spawn(names->names.run(!station.known.text.empty() || station.known.kind != json::Value::null));
-  if (endpoint) sched.spawn(endpoint->accept());
+  if (endpoint) {
+    log.info("metrics are told", {{"at", net::text(endpoint->address())}});
+    sched.spawn(endpoint->accept());
+  }
   sched.spawn(door.accept());
   sched.spawn(door.sweep());
   Wish wish;
--- a/tests/end_to_end_test.cpp
+++ b/tests/end_to_end_test.cpp
@@ -78,7 +78,7 @@
 
 static net::Address listening(const Child &child) {
   const auto text = child.lines.view();
-  const auto at = text.find(" at=") + 4;
+  const auto at = text.find(" at=", text.find("marshal serves")) + 4;
   const auto address = net::parseAddress(text.substr(at, text.find('\n', at) - at));
   assert(address);
   return *address;
@@ -181,6 +181,22 @@
   return fleet.zone("_pg._tcp.maps.example", 1, false);
 }
 
+static sched::Task<> metricsAreTold(Loop &loop, Child &child) {
+  const auto text = child.lines.view();
+  const auto at = text.find(" at=", text.find("metrics are told")) + 4;
+  const auto address = net::parseAddress(text.substr(at, text.find('\n', at) - at));
+  assert(address);
+  for (const auto &[target, expected] : {std::pair{"/metrics", "myrtlehead_names_servers{by=\"set\"} 2"},
+                                         std::pair{"/other", "404 Not Found"}}) {
+    auto socket = co_await net::connect(loop.sched, loop.budget, *address, {});
+    assert(socket);
+    co_await (*socket)->write(http::writeRequest("GET", target, "marshal"), {});
+    net::Buffer b;
+    for (auto cause = net::Cause::none; cause == net::Cause::none;) cause = co_await (*socket)->read(b, {});
+    assert(b.view().find(expected) != std::string_view::npos);
+  }
+}
+
 // Servers by names alone; SIGHUP moves the server of names, and settings with a fault change nothing.
 static void followsNamesAndTakesUpTheirServers() {
   Loop loop;
@@ -192,7 +208,8 @@
   const auto file = std::string(std::getenv("TMPDIR") != nullptr ? std::getenv("TMPDIR") : "/tmp") +
                     "/myrtlehead-test-" + std::to_string(getpid()) + ".toml";
   const auto settings = [&](const std::string &address, const char *more) {
-    std::ofstream(file) << "[names]\nservers = [\"" << address << "\"]\nleast_lifetime = \"100ms\"\n"
+    std::ofstream(file) << "[metrics]\nlisten = \"127.0.0.1:0\"\n[names]\nservers = [\"" << address
+                        << "\"]\nleast_lifetime = \"100ms\"\n"
                         << more << "[[names.set]]\nname = \"_pg._tcp.maps.example\"\n";
   };
   settings(net::text(first.address()), "");
@@ -207,6 +224,7 @@
     net::Buffer b;
     while ((co_await ask(**client, b)).find("runs build 1") == std::string::npos)
       co_await loop.sched.sleep(10 * kMs);
+    co_await metricsAreTold(loop, child);
     settings("nowhere", "");
     kill(child.pid, SIGHUP);
     co_await seen(child, "the new settings are not taken up");
