Remove what nothing calls: sizes in settings, a count of log lines, a time unused

No setting has a size yet, so its parser was kept by its test alone; a ledger's count, a search of the log and an argument were never read; whether there is a list to serve from was asked twice.

--- a/lab/node.h
+++ b/lab/node.h
@@ -41,7 +41,7 @@
   };
   std::unordered_map<std::string, Effect> effects; // by id, of routes that are not retriable
   Ns dedupeWindow = kSec;
-  std::uint64_t sends = 0, lateToDrained = 0, lateToTrial = 0, trialSends = 0;
+  std::uint64_t sends = 0, lateToDrained = 0, trialSends = 0;
   Ns worstAfterDrain = 0;
   std::vector<Ns> afterDrain; // of each drain: from its telling to the last send; filled when it is over
   int fallen = 0;
--- a/lab/process.cpp
+++ b/lab/process.cpp
@@ -77,12 +77,6 @@
   }
 }
 
-std::size_t Process::lines(std::string_view words) const {
-  std::size_t n = 0;
-  for (auto at = log_->all.find(words); at != std::string::npos; at = log_->all.find(words, at + 1)) ++n;
-  return n;
-}
-
 bool Process::runs() {
   if (!ended_ && waitpid(pid_, &status_, WNOHANG) == pid_) ended_ = true;
   return !ended_;
--- a/lab/process.h
+++ b/lab/process.h
@@ -33,7 +33,6 @@
   bool runs();
   Costs costs() const { return costsOf(pid_); }
   int pid() const { return pid_; }
-  std::size_t lines(std::string_view words) const; // of its log that hold the words
 
 private:
   struct Log { // outlives the process for as long as it is read
--- a/src/decide/resolver/lookup.cpp
+++ b/src/decide/resolver/lookup.cpp
@@ -76,7 +76,7 @@
   case dns::Status::ok:
   case dns::Status::noSuchName:
     servers_.answered(ask_.server);
-    return believe(message, now);
+    return believe(message);
   case dns::Status::failed:
     return failed("SERVFAIL", now);
   case dns::Status::refused:
@@ -105,7 +105,7 @@
 
 // Follows the aliases through the answer and takes the records at their end; everything else in the answer
 // was not asked for and is not believed.
-void Lookup::believe(const dns::Message &message, Ns now) {
+void Lookup::believe(const dns::Message &message) {
   for (bool moved = true; moved;) {
     moved = false;
     for (const auto &r : message.answers) {
@@ -137,7 +137,6 @@
   if (!askOn) return end(Said::empty, denial);
   std::fill(tried_.begin(), tried_.end(), 0);
   tries_ = 0;
-  (void)now;
 }
 
 void Lookup::keepAdditional(const dns::Message &message) {
--- a/src/decide/resolver/lookup.h
+++ b/src/decide/resolver/lookup.h
@@ -74,7 +74,7 @@
 
 private:
   void failed(std::string why, Ns now);
-  void believe(const dns::Message &message, Ns now);
+  void believe(const dns::Message &message);
   void end(Said said, Ns lifetime);
   void keepAdditional(const dns::Message &message);
   dns::Question asked_, now_; // now_: at the end of the aliases so far
--- a/src/program/installation/installation.cpp
+++ b/src/program/installation/installation.cpp
@@ -231,18 +231,6 @@
   return std::nullopt;
 }
 
-std::optional<std::uint64_t> parseSize(std::string_view text) {
-  double value = 0;
-  const auto r = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (r.ec != std::errc{} || value < 0 || !std::isfinite(value)) return std::nullopt;
-  const std::string_view unit(r.ptr, static_cast<std::size_t>(text.data() + text.size() - r.ptr));
-  constexpr std::pair<std::string_view, double> kUnits[] = {
-      {"B", 1}, {"KiB", 1024}, {"MiB", 1 << 20}, {"GiB", 1 << 30}};
-  for (const auto &[name, factor] : kUnits)
-    if (name == unit && value * factor <= 1e15) return static_cast<std::uint64_t>(value * factor);
-  return std::nullopt;
-}
-
 std::string text(const std::string &file, const Fault &fault) {
   return file + (fault.line > 0 ? ":" + std::to_string(fault.line) : "") + ": " +
          (fault.key.empty() ? "" : fault.key + ": ") + fault.what;
--- a/src/program/installation/installation.h
+++ b/src/program/installation/installation.h
@@ -39,7 +39,5 @@
 
 // "250ms", "1.5s", "10m", "1h", "3d" in ns; nullopt: not a duration, or one beyond 100 years.
 std::optional<sched::Ns> parseDuration(std::string_view text);
-// "64MiB", "512KiB", "100B" in bytes.
-std::optional<std::uint64_t> parseSize(std::string_view text);
 
 } // namespace myrtlehead::setup
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -219,8 +219,7 @@
     sched.spawn(datagrams->send());
     sched.spawn(datagrams->receive());
   }
-  if (names)
-    sched.spawn(names->names.run(!station.known.text.empty() || station.known.kind != json::Value::null));
+  if (names) sched.spawn(names->names.run(station.known.kind != json::Value::null));
   if (endpoint) {
     log.info("metrics are told", {{"at", net::text(endpoint->address())}});
     sched.spawn(endpoint->accept());
--- a/tests/installation_test.cpp
+++ b/tests/installation_test.cpp
@@ -78,12 +78,11 @@
   assert(faults(std::string(2 << 20, '#')).find("at most 1 MiB") != std::string::npos);
 }
 
-static void durationsAndSizesHaveUnits() {
-  using setup::parseDuration, setup::parseSize;
+static void durationsHaveUnits() {
+  using setup::parseDuration;
   assert(parseDuration("250ms") == 250'000'000 && parseDuration("1.5h") == 5'400'000'000'000 &&
          parseDuration("0s") == 0);
   for (const char *bad : {"", "5", "s", "-1s", "1 s", "1e99d", "nans"}) assert(!parseDuration(bad));
-  assert(parseSize("64MiB") == 64u << 20 && parseSize("100B") == 100u && !parseSize("64MB"));
 }
 
 static void whatNeedsARestartIsNamed() {
@@ -96,6 +95,6 @@
 int main() {
   allOfItIsDecoded();
   faultsSayWhereAndWhat();
-  durationsAndSizesHaveUnits();
+  durationsHaveUnits();
   whatNeedsARestartIsNamed();
 }
