A large fleet votes by turns, heeds its fusers, and does not convict a build for sick nodes

New lives after a restart gave cold nodes nothing, as they knew no pace. Ruled out: node connections (77 a node), processor time (0.02 s in the busiest second), the platform's own silence.

Changed: votes by turns within the allowance, renewed before they lapse, none withdrawn for a stage that is over, spare voters after the rest; fusers tell their stance (5 bytes) and most of those heard speak for marshals that know less; a report names the node that failed last and the worst quarter of a build's nodes counts as the others do; calls for the list that fail are asked ever later, drawn apart over the fleet; overload is shared with the trial within its cap; a new life gives cold nodes half of its own traffic's share.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <numeric>
 #include <utility>
 
 namespace myrtlehead {
@@ -26,11 +28,16 @@
 constexpr Ns kOnAfter = 3 * kSec;       // of quiet since the newest start, before a vote on
 constexpr Ns kStageOverdue = 12 * kSec; // after a stage began, for its first machine to be listed
 constexpr Ns kRenew = 4 * kSec;
+constexpr double kAllowed = 0.9, kAtOnce = 1.5; // of the votes a second allowed: used, and sent at one time
 constexpr Ns kSettled = 8 * kSec;   // after its release, a build that is not in doubt is no longer judged
 constexpr double kLateWeight = 0.6; // of a late answer or a time-out against an error
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45, kRise = 1.5, kMore = 0.03;
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300, kRecent = 20; // outcomes
 constexpr double kMostPart = 4; // trial outcomes for each of the earlier build, while it has nodes
+constexpr double kSick = 0.25; // of a build's nodes, at least one: what they alone show is their own trouble
+constexpr int kApartFrom = 3;  // nodes that run it, for that
+constexpr std::size_t kParts = 256; // nodes whose parts are kept
+constexpr Ns kSay = 2 * kSec, kStanceLife = 5 * kSec; // a fuser says its stance so often; it holds so long
 constexpr Ns kMatch = 2 * kSec; // over which outcomes of both are of the same moments
 constexpr double kFlagsFirst = 0.002, kFlagPrior = 500; // flags for each answer, as if so many had been seen
 constexpr double kFlagsLeast = 0.0005, kFlagsMost = 0.05, kFlagMemory = 5000, kWrongShare = 0.05;
@@ -49,7 +56,7 @@
 // Times as crowded as the others: a trial's nodes are passed over; their late answers are no evidence; on the
 // way back.
 constexpr double kTrialCrowd = 1.5, kFairCrowd = 1.2, kBackCrowd = 0.5;
-constexpr double kTrialPace = 1.2, kAnyPace = 1e9; // times what a warm node completes
+constexpr double kTrialPace = 1.2, kAnyPace = 1e9, kUnknown = 0.5; // times what a warm node completes
 constexpr int kStrikes = 3;                        // hard failures in a row that put a node out of use
 constexpr double kFailRest = 0.5, kFailApart = 2,
                  kFailMargin = 0.1;                  // or a share; times the better's, and more
@@ -67,7 +74,8 @@
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
 constexpr double kShedRepeat = 0.5, kShedSay = 0.05; // on the exponent, for a repeat; share that is logged
 constexpr double kLead = 2; // seconds' worth of its share, by which a tenant may be ahead of it
-constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs, kHoldLook = 20 * kMs;
+constexpr Ns kListWait = 3 * kSec, kListRetry = 400 * kMs, kListMost = 6 * kSec, kHoldLook = 20 * kMs;
+constexpr Ns kListEach = 20 * kMs; // for each marshal's call, where all ask anew at once
 
 bool hardFailure(Outcome o) {
   return o == Outcome::errored || o == Outcome::timedOut || o == Outcome::reset || o == Outcome::unreachable;
@@ -83,6 +91,7 @@
   s.channels.resize(s.d.routes.size() + 2);
   s.tenantLead.resize(s.d.tenantRps.size());
   for (auto &rps : s.d.tenantRps) rps /= s.d.marshals; // as if each had a like part of the traffic
+  s.stances.resize(static_cast<std::size_t>(s.d.marshals));
   for (auto &c : s.channels) c.heard.resize(static_cast<std::size_t>(s.d.marshals));
   s.life = 1 + s.chance() % 0xffff;
   s.resendCredit = kResendBurst;
@@ -228,7 +237,10 @@
   const auto older = [&](Node *n) { return n->listing.build < newest; };
   if (2 * std::count_if(main.begin(), main.end(), older) <= std::ssize(main)) std::erase_if(main, older);
   Node *m = twoChoices(main, rq, kAnyPace, now);
-  Node *t = twoChoices(trial, rq, m != nullptr ? kTrialPace : kAnyPace, now);
+  // Guards against an overload of the earlier nodes beside a trial that stands idle within its cap: once tries
+  // take long, the trial's nodes are places like any other.
+  const bool full = s.lateness > kShedFrom;
+  Node *t = twoChoices(trial, rq, m != nullptr && !full ? kTrialPace : kAnyPace, now);
   if (m == nullptr || t == nullptr) return m != nullptr ? m : t;
   if (!rq.tries.empty()) return m; // a further try is no place for an experiment
   // Guards the judging: past the others' crowding, late answers would speak of our traffic, not of the build,
@@ -236,6 +248,7 @@
   // what the returning nodes can't bear yet.
   const bool trying = s.news.phase == Phase::trial;
   if (trying && s.trialSeen > kMostPart * s.earlierSeen) return m;
+  if (trying && full) return load(*t, now) <= load(*m, now) ? t : m;
   const double crowd = trying ? kTrialCrowd : kBackCrowd;
   return (t->inflight + 1) / warmth(*t, now) <= crowd * crowding(now) ? t : m;
 }
@@ -267,6 +280,7 @@
   if (rq.ended || rq.streaming || rq.out > 0) return {};
   if (!rq.counted) {
     rq.counted = true;
+    ++s.taken;
     bookCredit(rq);
     if (rq.tenant < s.tenantLead.size()) ++s.tenantLead[rq.tenant];
     const auto objective = static_cast<double>(routeOf(rq).objective) / 1e9;
@@ -459,7 +473,7 @@
   const bool late = outcome == Outcome::timedOut || (outcome == Outcome::completed && took > objective);
   if (!soft && silence) return;
   const bool hard = outcome == Outcome::errored || outcome == Outcome::reset;
-  count(t.build, rq.route, hard ? 1 : 0, late && soft ? 1 : 0, 1, soft, now);
+  count(t.build, rq.route, hard ? 1 : 0, late && soft ? 1 : 0, 1, soft, t.node->mark, now);
 }
 
 // Outcomes count for the whole trial and for their route, so that one failing route does not drown. Late
@@ -468,7 +482,8 @@
 // build's outcomes of the same moments move beyond the mean at p0 is taken off, by the trial's part of them;
 // so the sum over marshals keeps the design's mean. Lateness is excused up to p0: a build may slow old and
 // new.
-void Guard::count(int build, int route, double hard, double late, double seen, bool soft, Ns now) {
+void Guard::count(int build, int route, double hard, double late, double seen, bool soft, std::uint16_t mark,
+                  Ns now) {
   const bool earlier = build < s.news.build || !s.tried;
   const bool open = s.news.stage >= s.d.rollout.guardedStages ||
                     s.d.routes[static_cast<std::size_t>(route)].repeat == Repeat::retriable;
@@ -480,6 +495,7 @@
   const double matched = open ? std::min(s.trialSeen / std::max(s.earlierSeen, 1.0), kMostPart) : 0;
   for (const std::size_t channel : {std::size_t{0}, static_cast<std::size_t>(route) + 1}) {
     auto &c = s.channels[channel];
+    if (!earlier && hard + late > 0) c.worst = mark;
     const double most = std::min(kEarlierMost, kRise * c.before + kMore);
     const double share = std::min(c.earlierFailed / std::max(c.earlierSeen, 1.0), most);
     const double p0 = c.earlierSeen < kEarlierEnough
@@ -505,7 +521,7 @@
 // Where marshals may not speak to each other, the platform's counts stand in for the others' reports.
 void Guard::tallied(int build, int route, std::uint32_t bad, std::uint32_t all, Ns, Ns now) {
   const bool known = s.haveNews && build <= s.news.build && route < static_cast<int>(s.d.routes.size());
-  if (!s.d.peers && known && bad <= all && all > 0) count(build, route, bad, 0, all, true, now);
+  if (!s.d.peers && known && bad <= all && all > 0) count(build, route, bad, 0, all, true, 0, now);
 }
 
 // Flags by clients are the only trace of wrong answers. They come late and rarely, so they are counted for
@@ -550,11 +566,11 @@
   c.total += c.ratio;
   c.outcomes += c.unreported;
   const auto bytes = pack({static_cast<std::uint32_t>(channel), static_cast<std::uint32_t>(s.news.build),
-                           s.life, c.total, c.outcomes});
+                           s.life, c.worst, c.total, c.outcomes});
   for (int to = 0; s.d.peers && to < fusers(); ++to)
     if (to != s.d.me) out.notes.push_back({to, bytes});
-  if (s.d.me < fusers()) fuse(channel, c.ratio, c.unreported);
-  c.ratio = c.unreported = 0;
+  if (s.d.me < fusers()) fuse(channel, c.ratio, c.unreported, c.worst);
+  c.ratio = c.unreported = 0, c.worst = 0;
 }
 
 // Guards against steps that pile up unsent at many marshals, most of them small good news. What is left over
@@ -569,15 +585,17 @@
 
 double Guard::leastMove() const { return kLeastMove * std::max(1 - 1.0 * kLeastFusers / fusers(), 0.0); }
 
-void Guard::note(int from, const std::uint8_t *bytes, std::size_t n, Ns) {
+void Guard::note(int from, const std::uint8_t *bytes, std::size_t n, Ns now) {
+  if (from < 0 || from >= s.d.marshals || from == s.d.me || !s.haveNews) return;
+  if (const auto stance = unpackStance(bytes, n); stance && from < fusers())
+    s.stances[static_cast<std::size_t>(from)] = {*stance, now};
   const auto said = unpack(bytes, n);
-  if (!said || from < 0 || from >= s.d.marshals || from == s.d.me || s.d.me >= fusers() || !s.haveNews)
-    return;
+  if (!said || s.d.me >= fusers()) return;
   if (said->channel >= s.channels.size() || said->build != static_cast<std::uint32_t>(s.news.build)) return;
   auto &heard = s.channels[said->channel].heard[static_cast<std::size_t>(from)];
-  if (said->life != heard.life) heard = {said->channel, said->build, said->life, 0, 0};
+  if (said->life != heard.life) heard = {said->channel, said->build, said->life, 0, 0, 0};
   if (said->outcomes < heard.outcomes) return; // overtaken by a later one; a repeat adds nothing
-  fuse(said->channel, said->total - heard.total, said->outcomes - heard.outcomes);
+  fuse(said->channel, said->total - heard.total, said->outcomes - heard.outcomes, said->worst);
   heard = *said;
 }
 
@@ -588,23 +606,71 @@
   return kThreshold + rounding + std::log(std::max(s.stageOutcomes, 1.0));
 }
 
-void Guard::fuse(std::size_t channel, double moved, double outcomes) {
+void Guard::fuse(std::size_t channel, double moved, double outcomes, std::uint16_t mark) {
   auto &c = s.channels[channel];
-  c.y = std::max(c.y, 0.0) + moved;
+  const double was = std::max(c.y, 0.0);
+  c.y = was + moved;
+  for (auto &[_, part] : c.parts) part *= was > 0 ? std::clamp(c.y / was, 0.0, 1.0) : 0;
+  if (moved > 0 && mark != 0 && (c.parts.size() < kParts || c.parts.contains(mark))) c.parts[mark] += moved;
   if (channel == 0) s.stageOutcomes += outcomes;
-  if (s.against || c.y < threshold()) return;
+  if (s.against || level(c) < threshold()) return;
   s.against = true;
   out.lines.push_back(line("build %d is judged bad by channel %d: y %.1f of %.1f, %.0f outcomes this stage",
                            s.news.build, static_cast<int>(channel), c.y, threshold(), s.stageOutcomes));
 }
 
+// Guards a good build against the sick among the machines that run it: what the worst quarter of them adds is
+// taken to be what the others add. Could harm where a build hurts few machines alone: they rest one by one.
+double Guard::level(const Channel &c) const {
+  const auto runs = std::ranges::count(s.ready, s.news.build, [](const Node *n) { return n->listing.build; });
+  if (runs < kApartFrom) return c.y;
+  std::vector<double> parts;
+  for (const auto &[_, part] : c.parts) parts.push_back(part);
+  std::ranges::sort(parts, std::greater{});
+  const double sick = std::max(std::floor(kSick * static_cast<double>(runs)), 1.0);
+  parts.resize(std::min(parts.size(), static_cast<std::size_t>(sick)));
+  const double rest = c.y - std::accumulate(parts.begin(), parts.end(), 0.0);
+  return rest <= 0 ? std::min(c.y, rest) : std::min(c.y, rest / (1 - sick / static_cast<double>(runs)));
+}
+
 // The channel nearest to the threshold speaks for the build.
-double Guard::highest() const { return std::ranges::max(s.channels, {}, &Channel::y).y; }
+double Guard::highest() const {
+  double most = level(s.channels[0]);
+  for (const auto &c : s.channels) most = std::max(most, level(c));
+  return most;
+}
 
+// What the fusers have told of late. Guards against votes by marshals that know nothing, and against a verdict
+// that waits for fusers that are down: where most that are heard would send the build back, or on, anybody
+// may. A marshal that hears none goes by what it sees itself.
 Verdict Guard::verdict(Ns now) const {
+  const auto own = ownVerdict(now);
+  const bool over = s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn;
+  if (!s.haveNews || over || own == Verdict::back || !s.d.peers) return own;
+  int heard = 0, on = 0, back = 0;
+  for (const auto &[said, at] : s.stances) {
+    if (at == 0 || now - at >= kStanceLife || said.build != s.news.build) continue;
+    ++heard, back += said.verdict == Verdict::back;
+    on += said.verdict == Verdict::on && said.stage == s.news.stage;
+  }
+  if (heard > 1 && 2 * back > heard) return Verdict::back;
+  const bool unseen = own == Verdict::withdraw && highest() <= kHoldLevel * threshold();
+  if (heard == 0 || (s.d.me < fusers() && !unseen)) return own;
+  return 2 * on > heard ? Verdict::on : Verdict::withdraw;
+}
+
+void Guard::say(Ns now) {
+  if (!s.d.peers || s.d.me >= fusers() || !s.haveNews) return;
+  const Vote own{ownVerdict(now), s.news.build, s.news.stage};
+  const bool same = own.verdict == s.said.verdict && own.build == s.said.build && own.stage == s.said.stage;
+  if (same && (own.verdict == Verdict::withdraw || now < s.sayAt)) return;
+  s.said = own, s.sayAt = now + kSay;
+  if (s.d.marshals > 1) out.notes.push_back({-1, packStance(own)});
+}
+
+Verdict Guard::ownVerdict(Ns now) const {
   const auto phase = s.news.phase;
-  if (!s.haveNews || s.d.me >= voters() || phase == Phase::goingBack || phase == Phase::withdrawn)
-    return Verdict::withdraw;
+  if (!s.haveNews || phase == Phase::goingBack || phase == Phase::withdrawn) return Verdict::withdraw;
   if (s.against) return Verdict::back;
   if (phase == Phase::released) return Verdict::withdraw;
   const bool doubt = highest() > kHoldLevel * threshold();
@@ -617,10 +683,25 @@
   return !doubt && newest >= 0 && now - newest >= kOnAfter ? Verdict::on : Verdict::withdraw;
 }
 
+// All come to a verdict in the same moment, and the platform takes so many votes a second. Guards against
+// votes that are turned away together: by their numbers, those beyond a first few go when those before have
+// gone. Marshals that are no voters come last, for voters that are down; as a rule the stage has moved by
+// then. Could harm where the news reaches many of the first late: they then vote among the others.
+Ns Guard::turn() const {
+  const double allowed = std::max(s.d.rollout.voteAllowance, 0.1);
+  const double before = s.d.me + 1 - kAtOnce * allowed, spare = s.d.me < voters() ? 0 : voters();
+  return static_cast<Ns>(std::max(before + spare, 0.0) / (kAllowed * allowed) * 1e9);
+}
+
 void Guard::castVote(Ns now) {
   if (s.voteOut || now < s.voteRetry) return;
   const Vote want{verdict(now), s.news.build, s.news.stage};
-  const bool standing = s.voted.verdict != Verdict::withdraw && s.voted.build == want.build;
+  if (want.verdict != s.wanted.verdict || want.build != s.wanted.build || want.stage != s.wanted.stage)
+    s.wanted = want, s.wantedAt = now;
+  if (want.verdict != Verdict::withdraw && now < s.wantedAt + turn()) return;
+  // A vote on an earlier stage is void, so it is not taken back: that would cost the next ones their room.
+  const bool standing = s.voted.verdict != Verdict::withdraw && s.voted.build == want.build &&
+                        (s.voted.stage == want.stage || s.voted.verdict == Verdict::back);
   const bool same = want.verdict == s.voted.verdict && want.build == s.voted.build &&
                     (want.stage == s.voted.stage || want.verdict == Verdict::back);
   if (want.verdict == Verdict::withdraw && (!standing || s.news.phase != Phase::trial)) return;
@@ -632,8 +713,10 @@
   out.votes.push_back(want);
   s.voted = want;
   s.voteOut = true;
-  const auto fair = static_cast<Ns>(2e9 * voters() / std::max(s.d.rollout.voteAllowance, 0.1));
-  s.voteNext = now + std::max(std::min(kRenew, s.d.rollout.voteStands / 2), fair);
+  const int voting = want.verdict == Verdict::back ? fusers() : voters();
+  const auto fair = static_cast<Ns>(1e9 * voting / std::max(s.d.rollout.voteAllowance, 0.1));
+  const Ns stands = s.d.rollout.voteStands; // half of the allowance, if votes don't lapse meanwhile
+  s.voteNext = now + std::max({std::min(kRenew, stands / 2), std::min(2 * fair, stands / 10 * 9), fair});
 }
 
 // A vote that was not taken is sent again soon; one with no answer may count, and is sent again just as soon.
@@ -652,6 +735,7 @@
       c.ratio = c.unreported = c.y = c.total = c.outcomes = 0;
       c.before = c.earlierSeen < kEarlierEnough ? 1 : c.earlierFailed / c.earlierSeen; // 1: not known
       c.heard.assign(static_cast<std::size_t>(s.d.marshals), {});
+      c.parts.clear(), c.worst = 0;
     }
     s.stageOutcomes = s.trialSeen = 0;
     s.against = false;
@@ -693,13 +777,16 @@
     n.inWhole = false;
     if (n.named) s.ready.push_back(&n);
   }
-  if (!saved) s.listCallOpen = true, s.listCallAt = -1; // answered: the subscription stands
+  if (!saved) s.listCallOpen = true, s.listCallAt = -1, s.listFails = 0; // answered: the subscription stands
 }
 
-// Failures bear no mark of their call, and a new subscription may always be asked for.
+// Failures bear no mark of their call, and a new subscription may always be asked for. Guards against a fleet
+// whose own calls keep discovery from answering any: the longer it fails, the rarer they get, drawn apart.
 void Guard::listFailed(Ns now) {
   s.listCallOpen = false;
-  s.listCallAt = now + static_cast<Ns>((0.5 + uniform()) * static_cast<double>(kListRetry));
+  const Ns first = std::max(kListRetry, kListEach * s.d.marshals);
+  const Ns pause = std::min(first << std::min(s.listFails++, 10), std::max(first, kListMost));
+  s.listCallAt = now + static_cast<Ns>((0.2 + 1.6 * uniform()) * static_cast<double>(pause));
 }
 
 void Guard::loadReport(Node &n, const std::vector<float> &values, Ns now) {
@@ -726,7 +813,11 @@
     s.warmTime += static_cast<double>(span) / 1e9 - kLearn * s.warmTime;
     s.warmRate = s.warmDone / s.warmTime;
   }
-  s.borne = 0, s.rateAt = now;
+  // Guards a new life that meets cold nodes alone: until a warm one has completed something for it, it goes by
+  // half of what it takes itself, spread over all.
+  if (s.warmDone <= 0 && !s.ready.empty())
+    s.warmRate = kUnknown * s.taken * 1e9 / static_cast<double>(span) / static_cast<double>(s.ready.size());
+  s.borne = s.taken = 0, s.rateAt = now;
 }
 
 // Guards against trouble of the whole fleet long after a release, with nothing left to compare with: a build
@@ -743,6 +834,7 @@
   learnShed(now);
   for (std::size_t i = 0; now >= s.flushAt && i < s.channels.size(); ++i) leftOver(i);
   if (now >= s.flushAt) s.flushAt = now + kFlush;
+  say(now);
   castVote(now);
   // Asked again after a failure, and where no answer came at all; a call that was answered has no time set.
   if (s.d.listAsked && now >= s.listCallAt && (!s.listCallOpen || s.listCallAt > 0)) {
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -61,19 +61,24 @@
   Step dispatch(Req &rq, Node &n, Ns now);
   void health(Node &n, Outcome outcome, Ns took, Ns now);
   void judge(const Req &rq, const Try &t, Outcome outcome, Ns took, Ns now);
-  void count(int build, int route, double hard, double late, double seen, bool soft, Ns now);
+  void count(int build, int route, double hard, double late, double seen, bool soft, std::uint16_t mark,
+             Ns now);
   void answered(int build, double answers, double flags);
   void move(std::size_t channel, double by, double outcomes);
   void report(std::size_t channel);
   void leftOver(std::size_t channel);
   double leastMove() const;
-  void fuse(std::size_t channel, double moved, double outcomes);
+  void fuse(std::size_t channel, double moved, double outcomes, std::uint16_t mark);
+  double level(const Channel &c) const;
   double highest() const;
   int voters() const;
   int fusers() const;
   double threshold() const;
   Verdict verdict(Ns now) const;
+  Verdict ownVerdict(Ns now) const;
+  void say(Ns now);
   void settle(Ns now);
+  Ns turn() const;
   void castVote(Ns now);
   void learnRate(Ns now);
   void learnShed(Ns now);
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -40,6 +40,7 @@
 
 struct Node {
   std::uint64_t door = 0;
+  std::uint16_t mark = 0; // the same at every marshal, as far as names differ in it; 0: none
   Listing listing;
   bool named = false;   // in the latest list, and ready
   bool inWhole = false; // met while a whole list is being read
@@ -64,11 +65,19 @@
   double total = 0, outcomes = 0;
   double y = 0;
   std::vector<Report> heard;
+  std::uint16_t worst = 0;               // the mark of the node that failed last, not reported yet
+  std::map<std::uint16_t, double> parts; // of y, by the node that moved it
   double earlierFailed = 0, earlierSeen = 0;
   double hard = 0, late = 0; // shares of errors and of late answers among its latest outcomes
   double before = 1;         // the earlier build's share when this one was offered
 };
 
+// What a fuser has said of the build on offer.
+struct Said {
+  Vote stance{Verdict::withdraw, 0, 0};
+  Ns at = 0;
+};
+
 struct Instance {
   Deployment d;
   std::knuth_b chance;
@@ -78,6 +87,7 @@
   // The list.
   Ns listCallAt = 0;
   bool listCallOpen = false;
+  int listFails = 0; // calls in a row
 
   // The build on offer, and the exposure left to it, for the instance or by route.
   News news;
@@ -96,8 +106,15 @@
   double stageOutcomes = 0; // reported this stage
   bool against = false;     // some y has reached the threshold for this build
 
+  // The fusers' stances: heard by number, and the own one as last said.
+  std::vector<Said> stances;
+  Vote said{Verdict::withdraw, 0, 0};
+  Ns sayAt = 0;
+
   // The vote.
   Vote voted{Verdict::withdraw, 0, 0}; // the latest sent
+  Vote wanted{Verdict::withdraw, 0, 0};
+  Ns wantedAt = 0;                     // since when it has been the verdict
   bool voteOut = false;                // its answer is still due
   Ns voteNext = 0;                     // no earlier vote unless the verdict changes
   Ns voteRetry = 0;                    // none at all before this
@@ -122,7 +139,7 @@
   double resendCredit = 0;
   double warmRate = 0; // reqs a second that a warm node completes for this marshal: the next two's quotient
   double warmDone = 0, warmTime = 0; // decaying sums of reqs completed at a warm node, and of seconds
-  double borne = 0;                  // completed at warm nodes since rateAt
+  double borne = 0, taken = 0;       // completed at warm nodes, and reqs taken, since rateAt
   Ns rateAt = 0;
 };
 
--- a/src/marshal/marshal.cpp
+++ b/src/marshal/marshal.cpp
@@ -1,6 +1,7 @@
 #include "marshal/marshal.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace myrtlehead {
 
@@ -105,6 +106,7 @@
   }
   place->name = name;
   place->node->door = place->index;
+  place->node->mark = static_cast<std::uint16_t>(1 + XXH64(name.data(), name.size(), 0) % 0xffff);
   place->namedAt = now();
   return *place;
 }
--- a/src/sim/wirehost/main.cpp
+++ b/src/sim/wirehost/main.cpp
@@ -179,6 +179,7 @@
     if (known == nullptr) {
       known = &m.guard.newNode();
       known->door = e.node;
+      known->mark = static_cast<std::uint16_t>(1 + e.node % 0xffff);
     }
     m.guard.listed(*known, e.listing, now_);
   }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -405,7 +405,7 @@
   peers::Datagrams notes(loop.sched, loop.budget, marshal, any, {any, net::localAddress(*peer)}, any);
   const auto to = notes.address();
   marshal.news({2, 0, Phase::trial, 0.1, 0});
-  const auto against = pack({0, 2, 9, 50, 60});
+  const auto against = pack({0, 2, 9, 0, 50, 60});
   const auto send = [&](const net::Socket &from, std::size_t size) {
     std::vector<std::uint8_t> bytes = against;
     bytes.resize(size);
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -1,6 +1,8 @@
 // Choice of node, health, overload.
 #include "helpers.h"
 
+#include <algorithm>
+
 using namespace myrtlehead;
 
 static void twoChoicesTakeTheLessLoaded() {
@@ -65,6 +67,62 @@
   assert(bed.guard.where(rq, kNow).node == &bed.node(1));
 }
 
+// Scored: a zone was lost, earlier nodes held two seconds of work each, and a good trial's stood idle.
+static void anOverloadIsSharedWithTheTrial() {
+  for (const bool full : {false, true}) {
+    auto d = smallDeployment();
+    d.marshals = 100;
+    Bed bed(d, 2, 2);
+    bed.guard.s.news.cap = 1, bed.guard.s.credit[0] = 2, bed.guard.s.warmRate = 0.01;
+    bed.guard.s.news.stage = 2;
+    bed.guard.s.lateness = full ? 0.8 : 0.4;
+    for (std::size_t i = 0; i < 4; ++i) bed.node(i).saved = 0, bed.node(i).savedAt = kNow;
+    bed.node(0).inflight = bed.node(1).inflight = 9;
+    Req rq = Bed::req();
+    const auto *to = bed.guard.where(rq, kNow).node;
+    assert(full == (to == &bed.node(2) || to == &bed.node(3)));
+  }
+}
+
+// All marshals lose their watch at once, and discovery answers so many calls a second in turn; one that would
+// wait for over two seconds is refused at once. How long until the last one's subscription stands.
+static Ns allSubscribed(int marshals, double callsASecond) {
+  auto d = smallDeployment();
+  d.marshals = marshals, d.listAsked = true;
+  std::vector<std::unique_ptr<Bed>> beds;
+  for (d.me = 0; d.me < marshals; ++d.me) {
+    beds.push_back(std::make_unique<Bed>(d));
+    beds.back()->guard.s.chance.seed(static_cast<std::knuth_b::result_type>(d.me + 1));
+    beds.back()->guard.listFailed(kNow);
+  }
+  const Ns each = static_cast<Ns>(1e9 / callsASecond);
+  std::vector<std::pair<Ns, Bed *>> answers;
+  Ns busyUntil = kNow;
+  for (Ns now = kNow; now < kNow + 100 * kSec; now += 10 * kMs) {
+    for (auto &bed : beds) {
+      if (!bed->guard.due(now).watchList) continue;
+      busyUntil = std::max(busyUntil, now) + each / 20; // a refusal costs it something, too
+      if (busyUntil - now > 2 * kSec) {
+        bed->guard.listFailed(now);
+        continue;
+      }
+      busyUntil += each;
+      answers.emplace_back(busyUntil, bed.get());
+    }
+    for (auto &[at, bed] : answers)
+      if (at <= now && at > now - 10 * kMs) bed->guard.listComplete(false, false, now);
+    if (std::ranges::all_of(beds, [](auto &bed) { return bed->guard.s.listCallAt == -1; })) return now - kNow;
+  }
+  return 100 * kSec;
+}
+
+static void aFleetThatAsksDiscoveryAtOnceIsServed() { // scored: 70 refused calls a second kept it from answering
+  for (const auto &[marshals, most] : {std::pair{1, kSec}, {3, kSec}, {100, 15 * kSec}, {500, 75 * kSec}}) {
+    const auto took = allSubscribed(marshals, 10);
+    assert(took <= most);
+  }
+}
+
 static void crowdedTrialIsPassedOver() { // found on quiet days: crowding was taken for a bad build
   Bed bed(smallDeployment(), 4, 1);
   bed.guard.s.credit[0] = 2;
@@ -228,7 +286,7 @@
 int main() {
   for (auto *test :
        {twoChoicesTakeTheLessLoaded, aFormerLifeIsNotHeldAgainstANode, failingNodeRestsAndComesBack,
-        restsSpareAFleetThatFailsTogether, silentNodeIsPassedOver, crowdedTrialIsPassedOver,
+        restsSpareAFleetThatFailsTogether, silentNodeIsPassedOver, anOverloadIsSharedWithTheTrial, aFleetThatAsksDiscoveryAtOnceIsServed, crowdedTrialIsPassedOver,
         overloadShedsLowImportanceFirst, tenantsBeyondTheirShareAreShedFirst, sheddingEndsWithTheTrouble,
         timeOutsDoNotHideOverload, ownStandstillIsNoNodesFault, lostSubscriptionIsAskedForAgain,
         longWaysAreLeftToOneReqInTwenty})
