Marshals tell a few others of nodes that fail; a lost zone's lateness is not the build's

Seen on zone+vast: a zone of 20 nodes was lost at 13 s; each of 67 marshals needed three failures of its own at each of them (850 tries found no place in 3 s, 661 reqs were given up for want of further tries), and 'build 759 is judged bad by channel 0: y 31.8 of 19.4, 2351 outcomes', a good build, from late answers under the lost zone's load. On herd+vast 'catalog: watch on discovery ended' 75 times in the busiest second. With the count over all logs, now 'myrtlehead_lab count'. Ruled out: errors of the trial's own (7 of its outcomes).

Changed: decide/repute, a module without I/O, passes word of failing nodes to 20 others drawn by chance, once a second while there is some; two tellers, own zone alone for lost tries, an own completed try ends it. Guard: lateness is no evidence while a twentieth of the tries find no place; machines that came with a stage are counted once grown; votes use 0.97 of the allowance.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -5,6 +5,7 @@
 #include "lab/run.h"
 #include "lab/sizes.h"
 #include "lab/starts.h"
+#include "lab/tally.h"
 #include "program/setup/station.h"
 
 #include <CLI/CLI.hpp>
@@ -98,6 +99,18 @@
   return back && lab::rulesKept(report) ? 0 : 1;
 }
 
+// What a fleet's logs say in sum.
+int count(const Words &w) {
+  lab::Tally tally;
+  for (const auto &file : w.files) {
+    std::ifstream log(file);
+    tally.read(log);
+  }
+  fmt::print("{}", lab::table(tally.kinds()));
+  if (tally.passedOver() > 0) fmt::print("{} lines were no lines of a log\n", tally.passedOver());
+  return 0;
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -120,6 +133,10 @@
   auto *compared = app.add_subcommand("compare", "Two reports side by side");
   compared->add_option("A", w.report)->required()->check(CLI::ExistingFile);
   compared->add_option("B", w.other)->required()->check(CLI::ExistingFile);
+  auto *counted = app.add_subcommand("count", "Lines of a fleet's logs by kind, with their busiest second");
+  counted->add_option("LOG", w.files, "One for each marshal, in the text form")
+      ->required()
+      ->check(CLI::ExistingFile);
   auto *drawn = app.add_subcommand("draw", "Play scenarios drawn by chance");
   drawn->add_option("--seed", w.seed, "The first")->capture_default_str();
   drawn->add_option("--count", w.count)->capture_default_str();
@@ -133,6 +150,7 @@
   try {
     app.parse(argc, argv);
     if (runs->parsed()) return run(w);
+    if (counted->parsed()) return count(w);
     if (drawn->parsed()) return draw(w);
     if (demos->parsed()) return demo(w);
     if (begun->parsed()) return lab::starts();
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -9,8 +9,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
-#include <numeric>
 #include <utility>
 
 namespace myrtlehead {
@@ -28,7 +26,7 @@
 constexpr Ns kOnAfter = 3 * kSec;       // of quiet since the newest start, before a vote on
 constexpr Ns kStageOverdue = 12 * kSec; // after a stage began, for its first machine to be listed
 constexpr Ns kRenew = 4 * kSec;
-constexpr double kAllowed = 0.9, kAtOnce = 1.5; // of the votes a second allowed: used, and sent at one time
+constexpr double kAllowed = 0.97, kAtOnce = 1.8; // of the votes a second allowed: used, and sent at one time
 constexpr Ns kSettled = 8 * kSec;   // after its release, a build that is not in doubt is no longer judged
 constexpr double kLateWeight = 0.6; // of a late answer or a time-out against an error
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45, kRise = 1.5, kMore = 0.03;
@@ -52,6 +50,7 @@
 constexpr int kDraws = 16;                            // for a node, by its weight
 constexpr double kQuartileStep = 0.1, kFarStill = 0.05; // the latter: share of reqs that still go far
 constexpr double kFarAway = 3; // times the own zone's quartile, from which tries at others take long
+constexpr double kLost = 0.05; // share of tries that find no place, or lose it, from which places are lost
 constexpr double kRoom = 0.25; // part of the objectives used up, below which there is room
 // Times as crowded as the others: a trial's nodes are passed over; their late answers are no evidence; on the
 // way back.
@@ -184,7 +183,7 @@
 
 // A node that rests, is silent, or has a try out since its rest and has not answered yet.
 bool Guard::doubtful(const Node &n, Ns now) const {
-  return n.restUntil > now || silent(n, now) || (n.rests > 0 && n.inflight > 0);
+  return n.restUntil > now || n.doubtedUntil > now || silent(n, now) || (n.rests > 0 && n.inflight > 0);
 }
 
 // Guards against slow or lossy ways between zones, as many marshals' few tries at each node can't show them.
@@ -192,8 +191,7 @@
 bool Guard::farAway() const { return s.nearTime > 0 && s.farTime > kFarAway * s.nearTime; }
 
 // Two random choices by own load, among the nodes neither in doubt nor far away, if a quarter is left: fewer
-// would be flooded.
-// Nodes tried before for this req come last.
+// would be flooded. Nodes tried before for this req come last.
 Node *Guard::twoChoices(std::vector<Node *> &from, const Req &rq, double mostPace, Ns now) {
   std::erase_if(from, [&](Node *n) { return !mayTake(rq, *n) || !room(*n, mostPace, now); });
   const auto leaveOut = [&](const auto &which) {
@@ -209,16 +207,16 @@
   if (from.empty()) return nullptr;
   if (from.size() == 1) return from[0];
   // By weight, where weights are told: a node is passed over by what it has less than the largest.
-  std::uniform_int_distribution<std::size_t> first(0, from.size() - 1), second(0, from.size() - 2);
-  const auto passed = [&](std::size_t at) {
-    return from[at]->listing.weight < 1 && uniform() >= from[at]->listing.weight;
+  const auto draw = [&](std::size_t beside) {
+    std::uniform_int_distribution<std::size_t> some(0, from.size() - (beside < from.size() ? 2 : 1));
+    for (int n = 0;; ++n) {
+      const auto at = some(s.chance), i = at < beside ? at : at + 1;
+      const double weight = from[i]->listing.weight;
+      if (n == kDraws || weight >= 1 || uniform() < weight) return i;
+    }
   };
-  auto i = first(s.chance);
-  for (int n = 0; n < kDraws && passed(i); ++n) i = first(s.chance);
-  auto j = second(s.chance);
-  for (int n = 0; n < kDraws && passed(j < i ? j : j + 1); ++n) j = second(s.chance);
-  Node *a = from[i], *b = from[j < i ? j : j + 1];
-  return load(*b, now) < load(*a, now) ? b : a;
+  const auto i = draw(from.size()), j = draw(i);
+  return load(*from[j], now) < load(*from[i], now) ? from[j] : from[i];
 }
 
 // The trial gets a req while the exposure lasts; others go to the newest other build that has half the nodes.
@@ -237,8 +235,8 @@
   const auto older = [&](Node *n) { return n->listing.build < newest; };
   if (2 * std::count_if(main.begin(), main.end(), older) <= std::ssize(main)) std::erase_if(main, older);
   Node *m = twoChoices(main, rq, kAnyPace, now);
-  // Guards against an overload of the earlier nodes beside a trial that stands idle within its cap: once tries
-  // take long, the trial's nodes are places like any other.
+  // Guards against an overload of the earlier nodes beside a trial that stands idle within its cap: once
+  // tries take long, the trial's nodes are places like any other.
   const bool full = s.lateness > kShedFrom;
   Node *t = twoChoices(trial, rq, m != nullptr && !full ? kTrialPace : kAnyPace, now);
   if (m == nullptr || t == nullptr) return m != nullptr ? m : t;
@@ -302,6 +300,8 @@
   t.mayHaveRun = !neverRan(outcome);
   --rq.out, --t.node->inflight, --s.inflight;
   t.node->quietSince = now;
+  const bool lost = outcome == Outcome::unreachable || outcome == Outcome::reset;
+  s.lost += kLearn / 4 * ((lost ? 1 : 0) - s.lost);
   s.finished += outcome == Outcome::completed || outcome == Outcome::errored; // others bear no work away
   if (t.sent >= s.deafUntil) {
     if (t.sent >= t.node->listing.start) health(*t.node, outcome, took, now); // else: of its former life
@@ -466,10 +466,11 @@
   const bool silence = outcome == Outcome::timedOut || outcome == Outcome::reset;
   if (silence && t.node->strikes > kStrikes) return; // it answers nothing: its own trouble
   // Only errors speak of a crowded node (faults that need load, not lateness of our own making), of a cold
-  // one, which is slow, not faulty, and where ways between zones have got long.
+  // one, which is slow, not faulty, where ways between zones are long, and while places are being lost, whose
+  // load falls on all others.
   const Ns start = t.node->listing.start;
   const bool young = start != 0 && now - start < std::min(kYoung, s.d.coldFor);
-  const bool soft = !t.crowded && !young && (t.zone == s.d.zone || !farAway());
+  const bool soft = !t.crowded && !young && s.lost < kLost && (t.zone == s.d.zone || !farAway());
   const bool late = outcome == Outcome::timedOut || (outcome == Outcome::completed && took > objective);
   if (!soft && silence) return;
   const bool hard = outcome == Outcome::errored || outcome == Outcome::reset;
@@ -599,8 +600,7 @@
   heard = *said;
 }
 
-// What the rounding of all marshals' left-over moves adds in a flush is no news: kRounding standard
-// deviations.
+// What the rounding of all marshals' left-over moves adds in a flush is no news: kRounding deviations.
 double Guard::threshold() const {
   const double rounding = kRounding * leastMove() * std::sqrt(s.d.marshals);
   return kThreshold + rounding + std::log(std::max(s.stageOutcomes, 1.0));
@@ -622,15 +622,17 @@
 // Guards a good build against the sick among the machines that run it: what the worst quarter of them adds is
 // taken to be what the others add. Could harm where a build hurts few machines alone: they rest one by one.
 double Guard::level(const Channel &c) const {
-  const auto runs = std::ranges::count(s.ready, s.news.build, [](const Node *n) { return n->listing.build; });
+  double runs = 0, grown = 0; // those that come with a stage are counted once they can have shown something
+  for (const auto *n : s.ready)
+    if (n->listing.build == s.news.build) ++runs, grown += s.seenAt - n->listing.start >= kYoung;
   if (runs < kApartFrom) return c.y;
+  const double of = grown < kApartFrom ? runs : grown, sick = std::max(std::floor(kSick * of), 1.0);
   std::vector<double> parts;
   for (const auto &[_, part] : c.parts) parts.push_back(part);
-  std::ranges::sort(parts, std::greater{});
-  const double sick = std::max(std::floor(kSick * static_cast<double>(runs)), 1.0);
-  parts.resize(std::min(parts.size(), static_cast<std::size_t>(sick)));
-  const double rest = c.y - std::accumulate(parts.begin(), parts.end(), 0.0);
-  return rest <= 0 ? std::min(c.y, rest) : std::min(c.y, rest / (1 - sick / static_cast<double>(runs)));
+  std::ranges::sort(parts);
+  double rest = c.y;
+  for (double i = 0; i < sick && !parts.empty(); ++i) rest -= parts.back(), parts.pop_back();
+  return std::min(c.y, rest <= 0 ? rest : rest / (1 - sick / of));
 }
 
 // The channel nearest to the threshold speaks for the build.
@@ -640,9 +642,8 @@
   return most;
 }
 
-// What the fusers have told of late. Guards against votes by marshals that know nothing, and against a verdict
-// that waits for fusers that are down: where most that are heard would send the build back, or on, anybody
-// may. A marshal that hears none goes by what it sees itself.
+// Guards against votes by marshals that know nothing, or a verdict that waits for fusers that are down: where
+// most that are heard would send the build back, or on, anybody may. Who hears none goes by what it sees.
 Verdict Guard::verdict(Ns now) const {
   const auto own = ownVerdict(now);
   const bool over = s.news.phase == Phase::goingBack || s.news.phase == Phase::withdrawn;
@@ -813,8 +814,8 @@
     s.warmTime += static_cast<double>(span) / 1e9 - kLearn * s.warmTime;
     s.warmRate = s.warmDone / s.warmTime;
   }
-  // Guards a new life that meets cold nodes alone: until a warm one has completed something for it, it goes by
-  // half of what it takes itself, spread over all.
+  // Guards a new life that meets cold nodes alone: until a warm one has completed something for it, it goes
+  // by half of what it takes itself, spread over all.
   if (s.warmDone <= 0 && !s.ready.empty())
     s.warmRate = kUnknown * s.taken * 1e9 / static_cast<double>(span) / static_cast<double>(s.ready.size());
   s.borne = s.taken = 0, s.rateAt = now;
--- a/src/guard/report.h
+++ b/src/guard/report.h
@@ -61,7 +61,8 @@
 }
 
 inline std::optional<Vote> unpackStance(const std::uint8_t *p, std::size_t n) {
-  if (n != kStanceSize || p[0] != kStanceVersion || p[1] > static_cast<int>(Verdict::back)) return std::nullopt;
+  if (n != kStanceSize || p[0] != kStanceVersion) return std::nullopt;
+  if (p[1] > static_cast<int>(Verdict::back)) return std::nullopt;
   return Vote{static_cast<Verdict>(p[1]), p[2] << 8 | p[3], p[4]};
 }
 
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -52,6 +52,7 @@
   int strikes = 0;      // hard failures in a row
   int rests = 0;        // spells out of use in a row
   Ns restUntil = 0;     // out of use until then
+  Ns doubtedUntil = 0;  // left out until then for what other marshals tell
   double saved = 0;     // sends to it saved up, while it is cold
   Ns savedAt = 0;
   double reported = 0; // reqs waiting or held there, by its last report
@@ -126,6 +127,7 @@
   int inflight = 0;
   double nearTime = 0, farTime = 0; // lower quartiles of own tries in the own zone and others, ns
   double latency = 0;               // mean time of own tries, ns
+  double lost = 0;                  // share of its latest tries that found no place, or lost it
   double objective = 0;             // mean of the reqs taken, seconds
   double finished = 0;              // outcomes since shedAt
   double meanOut = 0, flow = 0;     // tries out, and outcomes a second
--- a/src/marshal/marshal.cpp
+++ b/src/marshal/marshal.cpp
@@ -18,7 +18,8 @@
 }
 
 Marshal::Marshal(sched::Scheduler &sched, Deployment deployment, std::uint64_t seed, log::Log &log)
-    : sched_(sched), log_(log), guard_(std::move(deployment), seed, sched.now()), groupChance_(seed + 1) {}
+    : sched_(sched), log_(log), guard_(std::move(deployment), seed, sched.now()), groupChance_(seed + 1),
+      repute_(guard_.s.d.me, guard_.s.d.marshals, guard_.s.d.zone), reputeChance_(seed + 3) {}
 
 Choice Marshal::carryOut(Call &call, const Step &step) {
   untouched_ = false;
@@ -63,6 +64,11 @@
                          static_cast<double>(took) / static_cast<double>(std::max<Ns>(objective, 1)));
     rq.tier = preference_.pick(std::uniform_real_distribution<double>(0, 1)(groupChance_));
   }
+  if (call.target_->changes == call.changes_) {
+    auto &node = *call.target_->node;
+    repute_.finished(node.mark, outcome);
+    node.doubtedUntil = repute_.doubtedUntil(node.mark);
+  }
   const bool settled = outcome == Outcome::completed || rq.ended;
   return carryOut(call, guard_.after(rq, static_cast<int>(last), outcome, took, settled, now()));
 }
@@ -158,8 +164,11 @@
     const auto &was = t.node->listing;
     const auto &is = e.listing;
     if (!t.listed || was.build != is.build || was.start != is.start || was.mode != is.mode ||
-        t.address != e.address)
+        t.address != e.address) {
       ++t.changes;
+      repute_.forget(t.node->mark);
+      t.node->doubtedUntil = 0;
+    }
     t.address = e.address;
     guard_.listed(*t.node, is, now());
   }
@@ -216,13 +225,26 @@
 }
 
 void Marshal::heard(int from, std::string_view bytes) {
-  guard_.note(from, reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size(), now());
+  const auto *data = reinterpret_cast<const std::uint8_t *>(bytes.data());
+  if (const auto telling = repute::unpack(data, bytes.size())) {
+    repute_.heard(from, *telling, now(), reputeChance_);
+    return doubt(*telling);
+  }
+  guard_.note(from, data, bytes.size(), now());
   untouched_ = false;
   touched_.notify();
 }
 
+void Marshal::doubt(const repute::Telling &telling) {
+  for (const auto &seen : telling.nodes)
+    for (auto &t : targets_)
+      if (t.node->mark == seen.node) t.node->doubtedUntil = repute_.doubtedUntil(seen.node);
+}
+
 void Marshal::round() {
   auto due = guard_.due(now());
+  if (guard_.s.d.peers)
+    for (auto &note : repute_.due(now(), reputeChance_)) due.notes.push_back(std::move(note));
   for (const auto &line : due.lines) log_.info(line);
   if (due.watchList) listWanted_ = true, listSignal_.notify();
   for (auto &note : due.notes) notes_.push_back(std::move(note));
--- a/src/marshal/marshal.h
+++ b/src/marshal/marshal.h
@@ -5,6 +5,7 @@
 #include "base/log/log.h"
 #include "base/sched/scheduler.h"
 #include "decide/preference/preference.h"
+#include "decide/repute/repute.h"
 #include "decide/sources/sources.h"
 #include "guard/guard.h"
 
@@ -85,6 +86,7 @@
   void apply(const std::vector<Entry> &entries, bool whole, bool saved);
   void rename(const std::vector<Entry> &entries);
   void observeGroups();
+  void doubt(const repute::Telling &telling);
   void round();
   Ns now() const { return sched_.now(); }
 
@@ -94,6 +96,8 @@
   sources::Sources *sources_ = nullptr; // none: the list alone
   preference::Preference preference_;
   std::knuth_b groupChance_;
+  repute::Repute repute_; // where marshals may speak to each other
+  std::knuth_b reputeChance_;
   std::deque<Target> targets_;
   std::unordered_map<std::string, Target *> byName_;
   std::unordered_map<const Node *, Target *> byNode_;
