Lateness says nothing of a build for 5 s after places are lost, nor in a life's first 5 s

Seen on zone+vast: 'build 759 is judged bad by channel 3: y 32.3 of 19.5, 2684 outcomes' a second after 33 marshals came back: their new lives knew nothing of the lost zone, and at busy marshals the share of lost tries faded by outcomes while the load lasted (Guard::after, judge). Changed: a time of 5 s from the last moment at which the share was reached, which also begins each life.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -32,8 +32,7 @@
 constexpr double kEarlierFirst = 0.02, kEarlierLeast = 0.01, kEarlierMost = 0.45, kRise = 1.5, kMore = 0.03;
 constexpr double kEarlierEnough = 20, kEarlierMemory = 300, kRecent = 20; // outcomes
 constexpr double kMostPart = 4; // trial outcomes for each of the earlier build, while it has nodes
-constexpr double kSick = 0.25; // of a build's nodes, at least one: what they alone show is their own trouble
-constexpr int kApartFrom = 3;  // nodes that run it, for that
+constexpr double kSick = 0.25, kApartFrom = 3; // of a build's nodes, one at least; of so many or more
 constexpr std::size_t kParts = 256; // nodes whose parts are kept
 constexpr Ns kSay = 2 * kSec, kStanceLife = 5 * kSec; // a fuser says its stance so often; it holds so long
 constexpr Ns kMatch = 2 * kSec; // over which outcomes of both are of the same moments
@@ -50,7 +49,8 @@
 constexpr int kDraws = 16;                            // for a node, by its weight
 constexpr double kQuartileStep = 0.1, kFarStill = 0.05; // the latter: share of reqs that still go far
 constexpr double kFarAway = 3; // times the own zone's quartile, from which tries at others take long
-constexpr double kLost = 0.05; // share of tries that find no place, or lose it, from which places are lost
+constexpr double kLost = 0.05; // share of tries that find no place, or lose it, from which places are lost;
+constexpr Ns kLostFor = 5 * kSec; // their load is on the others for so long
 constexpr double kRoom = 0.25; // part of the objectives used up, below which there is room
 // Times as crowded as the others: a trial's nodes are passed over; their late answers are no evidence; on the
 // way back.
@@ -93,7 +93,7 @@
   s.stances.resize(static_cast<std::size_t>(s.d.marshals));
   for (auto &c : s.channels) c.heard.resize(static_cast<std::size_t>(s.d.marshals));
   s.life = 1 + s.chance() % 0xffff;
-  s.resendCredit = kResendBurst;
+  s.resendCredit = kResendBurst, s.lostUntil = now + kLostFor; // it may have been started amid trouble
   s.rateAt = s.shedAt = s.seenAt = now;
 }
 
@@ -302,6 +302,7 @@
   t.node->quietSince = now;
   const bool lost = outcome == Outcome::unreachable || outcome == Outcome::reset;
   s.lost += kLearn / 4 * ((lost ? 1 : 0) - s.lost);
+  if (s.lost >= kLost) s.lostUntil = now + kLostFor;
   s.finished += outcome == Outcome::completed || outcome == Outcome::errored; // others bear no work away
   if (t.sent >= s.deafUntil) {
     if (t.sent >= t.node->listing.start) health(*t.node, outcome, took, now); // else: of its former life
@@ -470,7 +471,7 @@
   // load falls on all others.
   const Ns start = t.node->listing.start;
   const bool young = start != 0 && now - start < std::min(kYoung, s.d.coldFor);
-  const bool soft = !t.crowded && !young && s.lost < kLost && (t.zone == s.d.zone || !farAway());
+  const bool soft = !t.crowded && !young && now >= s.lostUntil && (t.zone == s.d.zone || !farAway());
   const bool late = outcome == Outcome::timedOut || (outcome == Outcome::completed && took > objective);
   if (!soft && silence) return;
   const bool hard = outcome == Outcome::errored || outcome == Outcome::reset;
@@ -733,10 +734,9 @@
   const bool changed = newer || news.stage != s.news.stage || news.phase != s.news.phase;
   if (newer) {
     for (auto &c : s.channels) {
-      c.ratio = c.unreported = c.y = c.total = c.outcomes = 0;
+      c.ratio = c.unreported = c.y = c.total = c.outcomes = c.worst = 0;
       c.before = c.earlierSeen < kEarlierEnough ? 1 : c.earlierFailed / c.earlierSeen; // 1: not known
-      c.heard.assign(static_cast<std::size_t>(s.d.marshals), {});
-      c.parts.clear(), c.worst = 0;
+      c.heard.assign(static_cast<std::size_t>(s.d.marshals), {}), c.parts.clear();
     }
     s.stageOutcomes = s.trialSeen = 0;
     s.against = false;
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -128,6 +128,7 @@
   double nearTime = 0, farTime = 0; // lower quartiles of own tries in the own zone and others, ns
   double latency = 0;               // mean time of own tries, ns
   double lost = 0;                  // share of its latest tries that found no place, or lost it
+  Ns lostUntil = 0;                 // so long lateness says nothing of a build
   double objective = 0;             // mean of the reqs taken, seconds
   double finished = 0;              // outcomes since shedAt
   double meanOut = 0, flow = 0;     // tries out, and outcomes a second
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -45,6 +45,7 @@
     for (int i = 0; i < young; ++i) list({.build = 2});
     guard.s.news = young > 0 ? News{2, 0, phase, 0.1} : News{1, 2, Phase::released, 1};
     guard.s.haveNews = true, guard.s.tried = young > 0, guard.s.warmRate = 10;
+    guard.s.lostUntil = 0; // it has served for a while
   }
   Node &list(const Listing &l) {
     Node &n = guard.newNode();
