A configuration that numbers a marshal beyond its fleet is refused, with its key

Need: tables and shares are sized by peersTotal (Guard::Guard, decide/repute), and a number not below it was taken without a word: its votes' turn and its notes would be those of nobody. Zero, negative and broken counts were refused before. Tested with 0, less than our number, 1 and 500.

--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -82,9 +82,25 @@
   assert(d.routes[0].objective == 400 * kMs);
 }
 
+// The number of marshals bounds tables and shares, so one that can't be is told with its key.
+static void aFleetThatCannotBeIsRefused() {
+  const auto why = [](const char *text) -> std::string {
+    try {
+      readDeployment(text);
+    } catch (const std::exception &e) {
+      return e.what();
+    }
+    return "";
+  };
+  for (const auto *text : {"peersTotal=0", "peersTotal=-3", "peersTotal=2.5", "me=1", "me=5\npeersTotal=5"})
+    assert(why(text).find("peersTotal") != std::string::npos);
+  for (const auto *text : {"peersTotal=1", "me=4\npeersTotal=5", "me=499\npeersTotal=500"}) assert(why(text).empty());
+}
+
 int main() {
   writesTheWorkedReply();
   readsTheWorkedHeadAndListing();
   refusesBrokenInput();
   readsTheSettings();
+  aFleetThatCannotBeIsRefused();
 }
