--- a/src/decide/repute/repute.cpp
+++ b/src/decide/repute/repute.cpp
@@ -13,7 +13,7 @@
 constexpr double kEnough = 3;           // bad tries told, and
 constexpr double kShare = 0.6;          // their part of all that was told, from which a node is left out
 constexpr Ns kSpell = 2 * kSec, kMost = 8 * kSec; // for so long first, doubling while it goes on
-constexpr std::size_t kMostHeld = 4096; // nodes; beyond that the one heard of longest ago goes
+constexpr std::size_t kMostHeld = 4096; // nodes; no others are taken up beyond that
 
 constexpr std::size_t kHead = 3, kEach = 5;
 
