A spoilt answer is no lost place, so that slow builds are judged where answers break off

At fault: after.cpp, which counted each reset as a lost place; with one try in twenty spoilt `s.lost` stays about kLost (0.05), `lostUntil` is ever ahead, and lateness is no evidence for any build.

Change: an attempt that breaks off counts as a lost place only where the node's outcome before failed too; one that finds no way counts as before. One log line when discovery is asked anew beside an earlier watch.

A test fails without the change.

--- a/src/follow/catalog/watch.cpp
+++ b/src/follow/catalog/watch.cpp
@@ -17,6 +17,7 @@
 net::Task<> Watch::run() {
   for (;;) {
     co_await marshal_.listWanted();
+    if (!open_.empty()) log_.info("asks discovery anew while an earlier watch stands", {{"index", index_}});
     open();
   }
 }
--- a/src/guard/after.cpp
+++ b/src/guard/after.cpp
@@ -11,7 +11,8 @@
   t.mayHaveRun = !neverRan(outcome);
   --rq.out, --t.node->inflight, --s.inflight;
   t.node->quietSince = now;
-  const bool lost = outcome == Outcome::unreachable || outcome == Outcome::reset;
+  // An answer that breaks off is no lost place while the node goes on answering others.
+  const bool lost = outcome == Outcome::unreachable || (outcome == Outcome::reset && t.node->strikes > 0);
   s.lost += kLearn / 4 * ((lost ? 1 : 0) - s.lost);
   if (s.lost >= kLost) s.lostUntil = now + kLostFor;
   s.finished += outcome == Outcome::completed || outcome == Outcome::errored; // others bear no work away
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -178,6 +178,20 @@
   assert(bed.guard.where(far, kNow + kMs).what == Step::send);
 }
 
+// A node whose answers break off now and then keeps its place; one that fails again and again has lost it.
+static void spoiltAnswersAreNoLostPlaces() { // scored: 1 try in 20 so, and no build was judged by its lateness
+  for (const bool inARow : {false, true}) {
+    Bed bed(smallDeployment(), 2);
+    for (int i = 0; i < 40; ++i) {
+      const bool spoilt = inARow || i % 10 == 0;
+      Req rq = bed.triedAt(bed.node(0), 2, true);
+      const auto outcome = spoilt ? Outcome::reset : Outcome::completed;
+      bed.guard.after(rq, 0, outcome, 10 * kMs, true, kNow + i * kMs);
+    }
+    assert((bed.guard.s.lostUntil > kNow) == inARow);
+  }
+}
+
 static void longWaysAreLeftToOneReqInTwenty() { // scored: behind a slow link half of the reqs came late
   Bed bed(smallDeployment(), 0);
   for (int zone : {0, 0, 1, 1}) bed.list({.build = 1, .zone = zone});
@@ -261,7 +275,7 @@
         restsSpareAFleetThatFailsTogether, silentNodeIsPassedOver, anOverloadIsSharedWithTheTrial,
         crowdedTrialIsPassedOver, overloadShedsLowImportanceFirst, tenantsBeyondTheirShareAreShedFirst,
         sheddingEndsWithTheTrouble, timeOutsDoNotHideOverload, ownStandstillIsNoNodesFault,
-        aSilentListLeavesTheNodesThatHaveJustServed, longWaysAreLeftToOneReqInTwenty})
+        aSilentListLeavesTheNodesThatHaveJustServed, longWaysAreLeftToOneReqInTwenty, spoiltAnswersAreNoLostPlaces})
     test();
   aReqGoesToItsGroup();
   weightsShareReqs();
