--- a/lab/node.cpp
+++ b/lab/node.cpp
@@ -114,6 +114,7 @@
   const auto place = next_++;
   while (place >= finished_ + static_cast<std::uint64_t>(work_.cores)) co_await sched_.wait(done_);
   const bool known = again(statement);
+  if (ledger_.keepsRuns && !known) ++ledger_.runsOf[std::string(statement.record)];
   std::lognormal_distribution<double> drawn(-work_.spread * work_.spread / 2, std::max(work_.spread, 1e-9));
   const double factor = (work_.spread > 0 ? drawn(chance_) : 1) * trouble.slow / warmth();
   if (!known) co_await sched_.sleep(static_cast<Ns>(static_cast<double>(work_.mean) * factor));
--- a/src/program/installation/installation.h
+++ b/src/program/installation/installation.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/log/log.h"
+#include "fleet/membership.h"
 #include "follow/names/naming.h"
 
 #include <optional>
@@ -18,6 +19,7 @@
   std::optional<net::Address> metrics; // where they are asked for
   std::string stateFolder;             // "": nothing is kept
   names::Naming naming;
+  std::optional<fleet::Membership> fleet; // none: no thread, socket or file of it exists
 };
 
 struct Fault {
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,6 +1,7 @@
 #include "program/serve.h"
 
 #include "base/log/log.h"
+#include "fleet/fleet.h"
 #include "follow/catalog/watch.h"
 #include "follow/names/names.h"
 #include "follow/peers/datagrams.h"
@@ -206,6 +207,14 @@
   else if (station.news.kind != json::Value::null)
     throw setup::SetupError("the configuration's 'platform.news' can't be read");
 
+  std::unique_ptr<fleet::Fleet> fleet;
+  if (installation.fleet) {
+    fleet::Routes routes{station.routes, {}};
+    for (const auto &r : station.deployment.routes) routes.kinds.push_back(r.repeat);
+    fleet = std::make_unique<fleet::Fleet>(sched, budget, marshal, pool, *installation.fleet,
+                                           std::move(routes), station.routeTimeouts, unixAtZero(sched.now()),
+                                           station.seed + 5, logs.of("fleet"));
+  }
   clients::Door door(sched, budget, marshal, pool, clientsLog, station.listen, station.routes,
                      station.routeTimeouts,
                      station.memory / 8); // what a large req takes in all is below four times it
@@ -224,6 +233,7 @@
     log.info("metrics are told", {{"at", net::text(endpoint->address())}});
     sched.spawn(endpoint->accept());
   }
+  if (fleet) fleet->start();
   sched.spawn(door.accept());
   sched.spawn(door.sweep());
   Wish wish;
