Links between members that fail, and histories of a fleet drawn by chance on a clock of its own

Need: the fleet's tests stopped processes and cut no links; a failure that chance finds must be found again.

Change: `lab/link` (a relay that cuts, stalls, delays, loses one way, ends inside a message) between every two processes of the tests; `tests/links_test` (parted two from three, one way alone, a peer that stalls, slow links that end inside messages); a scheduler on a clock of its own; `myrtlehead_lab histories`: the same tasks and decisions with members, disks, nodes and links in memory, kills, pauses, cuts, full disks and repeated questions drawn from one seed. Jobs are read from their records again only where another ballot was accepted: reading all of them twenty times a second would have kept reqs waiting once thousands are kept.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,6 +1,7 @@
 // The laboratory's command line.
 #include "lab/fleet.h"
 #include "lab/floor.h"
+#include "lab/histories.h"
 #include "lab/process.h"
 #include "lab/run.h"
 #include "lab/sizes.h"
@@ -99,6 +100,28 @@
   return back && lab::rulesKept(report) ? 0 : 1;
 }
 
+// Histories of a fleet of members, in memory.
+int histories(const Words &w) {
+  lab::History sum;
+  int broken = 0;
+  for (int i = 0; i < w.count; ++i) {
+    const auto seed = w.seed + static_cast<std::uint64_t>(i);
+    const lab::Drawn drawn{.members = 3 + 2 * static_cast<int>(seed % 4)};
+    const auto h = lab::playHistory(drawn, seed);
+    sum.taken += h.taken, sum.done += h.done, sum.failed += h.failed, sum.givenUp += h.givenUp,
+        sum.begun += h.begun;
+    sum.kills += h.kills, sum.pauses += h.pauses, sum.cuts += h.cuts;
+    for (const auto &breach : h.breaches) fmt::print("seed {}: {}\n", seed, breach);
+    broken += !h.breaches.empty();
+  }
+  fmt::print("{} histories, {} broken: {} jobs taken, {} done, {} failed, {} given up, {} begun; {} kills, "
+             "{} pauses, "
+             "{} cuts\n",
+             w.count, broken, sum.taken, sum.done, sum.failed, sum.givenUp, sum.begun, sum.kills, sum.pauses,
+             sum.cuts);
+  return broken == 0 ? 0 : 1;
+}
+
 // What a fleet's logs say in sum.
 int count(const Words &w) {
   lab::Tally tally;
@@ -140,6 +163,10 @@
   auto *drawn = app.add_subcommand("draw", "Play scenarios drawn by chance");
   drawn->add_option("--seed", w.seed, "The first")->capture_default_str();
   drawn->add_option("--count", w.count)->capture_default_str();
+  auto *fleets = app.add_subcommand("histories",
+                                    "A fleet's members, jobs and faults drawn by chance, in memory");
+  fleets->add_option("--seed", w.seed, "The first")->capture_default_str();
+  fleets->add_option("--count", w.count)->capture_default_str();
   auto *demos = app.add_subcommand("demo",
                                    "A toy fleet, a marshal and load in one go: builds offered and judged");
   auto *sizes = app.add_subcommand(
@@ -152,6 +179,7 @@
     if (runs->parsed()) return run(w);
     if (counted->parsed()) return count(w);
     if (drawn->parsed()) return draw(w);
+    if (fleets->parsed()) return histories(w);
     if (demos->parsed()) return demo(w);
     if (begun->parsed()) return lab::starts();
     if (sizes->parsed()) return lab::sizes();
--- a/src/base/sched/scheduler.cpp
+++ b/src/base/sched/scheduler.cpp
@@ -58,17 +58,20 @@
   onReady_.join(sched_.ready_);
 }
 
-Scheduler::Scheduler() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+Scheduler::Scheduler(Clock clock) : clock_(clock) {
+  if (clock_ == Clock::own) return;
+  epoll_ = epoll_create1(EPOLL_CLOEXEC);
   if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll");
   readClock();
 }
 
 Scheduler::~Scheduler() {
   roots_.clear();
-  close(epoll_);
+  if (epoll_ >= 0) close(epoll_);
 }
 
 void Scheduler::readClock() {
+  if (clock_ == Clock::own) return;
   timespec t{};
   clock_gettime(CLOCK_MONOTONIC, &t);
   now_ = t.tv_sec * Ns{1'000'000'000} + t.tv_nsec;
@@ -114,6 +117,11 @@
 
 // No coroutine runs in here, so nothing that an event points to can go away.
 void Scheduler::poll() {
+  if (clock_ == Clock::own) {
+    if (ready_.alone() && !timers_.empty()) now_ = std::max(now_, timers_.begin()->first);
+    halted_ = halted_ || (ready_.alone() && timers_.empty());
+    return;
+  }
   std::array<epoll_event, 256> events;
   int timeout = -1;
   readClock();
--- a/src/base/sched/scheduler.h
+++ b/src/base/sched/scheduler.h
@@ -95,9 +95,13 @@
   ~Watched() = default;
 };
 
+// The machine's clock, or one of the scheduler's own that jumps to the next time at which anything is due:
+// then no descriptor can be watched, and the run ends once nothing is due any more.
+enum class Clock { machine, own };
+
 class Scheduler {
 public:
-  Scheduler();
+  explicit Scheduler(Clock clock = Clock::machine);
   ~Scheduler();
   Scheduler(const Scheduler &) = delete;
   Scheduler &operator=(const Scheduler &) = delete;
@@ -123,6 +127,7 @@
   void resumeReady();
   void readClock();
 
+  Clock clock_;
   int epoll_ = -1;
   Ns now_ = 0;
   bool halted_ = false;
--- a/src/fleet/jobs.cpp
+++ b/src/fleet/jobs.cpp
@@ -102,9 +102,13 @@
   std::vector<std::string> over;
   open_ = 0;
   for (const auto &[key, held] : ledger_.all()) {
-    const auto record = readRecord(held.value);
-    if (!record) continue;
-    const auto &job = record->job;
+    auto &known = seen_[key];
+    if (known.accepted != held.accepted) {
+      const auto record = readRecord(held.value);
+      known = {held.accepted, record ? std::optional(record->job) : std::nullopt};
+    }
+    if (!known.job) continue;
+    const auto &job = *known.job;
     if (custody::forgotten(job, now(), membership_.terms)) over.push_back(key);
     if (custody::over(job.state) || busy_.contains(key)) {
       firstSeen_.erase(key);
@@ -120,7 +124,7 @@
     if (now() - seen >= custody::turnOf(job.id, registers_.me(), registers_.members()))
       found.emplace_back(job, key);
   }
-  for (const auto &key : over) ledger_.forget(key), firstSeen_.erase(key);
+  for (const auto &key : over) ledger_.forget(key), firstSeen_.erase(key), seen_.erase(key);
   std::ranges::stable_sort(found, [](const auto &a, const auto &b) {
     return std::pair(-a.first.importance, a.first.due) < std::pair(-b.first.importance, b.first.due);
   });
--- a/src/fleet/jobs.h
+++ b/src/fleet/jobs.h
@@ -45,6 +45,12 @@
   Routes routes_;
   Ns unixAtZero_;
   std::knuth_b chance_;
+  // What this member's ledger holds of a job, read again only once another ballot has been accepted.
+  struct Seen {
+    custody::Ballot accepted;
+    std::optional<custody::Job> job;
+  };
+  std::map<std::string, Seen> seen_;
   std::set<std::string> busy_;          // keys that this member works on
   std::map<std::string, Ns> firstSeen_; // open ones, since when they might be claimed
   std::size_t open_ = 0;
--- a/tests/members.h
+++ b/tests/members.h
@@ -3,6 +3,7 @@
 
 #include "base/calls/line.h"
 #include "lab/fleet.h"
+#include "lab/link.h"
 #include "lab/process.h"
 
 #include <csignal>
@@ -37,6 +38,9 @@
     }
     held.clear();
     processes_.resize(static_cast<std::size_t>(n));
+    for (int i = 0; i < n; ++i)
+      for (int to = 0; to < n; ++to)
+        links_.push_back(std::make_unique<lab::Link>(sched, budget, *net::parseAddress(at(to))));
     for (const auto &at : at_)
       lines_.push_back(std::make_unique<calls::Line>(sched, budget, *net::parseAddress(at)));
   }
@@ -79,6 +83,15 @@
   }
   lab::Process &process(int i) { return *processes_[static_cast<std::size_t>(i)]; }
   std::string folder(int i) const { return folder_ + "/m" + std::to_string(i); }
+  // The way that member `from` takes to member `to`.
+  lab::Link &link(int from, int to) {
+    return *links_[static_cast<std::size_t>(from) * at_.size() + static_cast<std::size_t>(to)];
+  }
+  void part(const std::vector<int> &one, const std::vector<int> &other, bool apart) {
+    for (const int a : one)
+      for (const int b : other)
+        for (auto *way : {&link(a, b), &link(b, a)}) apart ? way->cut() : way->heal();
+  }
   const std::string &at(int i) const { return at_[static_cast<std::size_t>(i)]; }
 
   struct Said {
@@ -144,12 +157,14 @@
                "\"\nclaim = \"1500ms\"\ndrift = \"200ms\"\ngrace = \"300ms\"\npause_first = \"20ms\"\n" +
                extra;
     for (std::size_t m = 0; m < at_.size(); ++m)
-      out += "[[fleet.member]]\nname = \"m" + std::to_string(m) + "\"\naddress = \"" + at_[m] + "\"\n";
+      out += "[[fleet.member]]\nname = \"m" + std::to_string(m) + "\"\naddress = \"" +
+             net::text(links_[static_cast<std::size_t>(i) * at_.size() + m]->address()) + "\"\n";
     return out;
   }
   std::string folder_ = std::string(std::getenv("TMPDIR") != nullptr ? std::getenv("TMPDIR") : "/tmp") +
                         "/myrtlehead-members-" + std::to_string(getpid());
   std::vector<std::string> at_;
+  std::vector<std::unique_ptr<lab::Link>> links_; // row by row: from, to
   std::vector<std::unique_ptr<lab::Process>> processes_;
   std::vector<std::unique_ptr<calls::Line>> lines_;
 };
