--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -12,6 +12,7 @@
         Membership membership, Routes routes, std::vector<Ns> timeouts, Ns unixAtZero, std::uint64_t seed,
         log::Log log);
   void start();
+  net::Task<> close() { return jobs_.close(); } // before an orderly end
   net::Address address() const { return door_.address(); }
 
 private:
--- a/src/fleet/jobs.cpp
+++ b/src/fleet/jobs.cpp
@@ -133,8 +133,14 @@
   return out;
 }
 
+net::Task<> Jobs::close() {
+  leaving_ = true;
+  const Ns until = sched_.now() + membership_.terms.claimFor;
+  while (!busy_.empty() && sched_.now() < until) co_await sched_.sleep(kLook);
+}
+
 net::Task<> Jobs::look() {
-  for (;;) {
+  while (!leaving_) {
     for (auto &key : claimable()) {
       if (busy_.size() >= static_cast<std::size_t>(membership_.slots)) break;
       busy_.insert(key);
--- a/src/fleet/jobs.h
+++ b/src/fleet/jobs.h
@@ -20,6 +20,8 @@
   net::Task<Answered> submit(std::string body); // 202 once a majority holds it; 200: known by its mark
   net::Task<Answered> tell(std::string id);
   net::Task<> look(); // for as long as the marshal lives
+  net::Task<>
+  close(); // takes no more jobs; returns once those that run are reported, or a claim's time is over
 
   struct Figures {
     std::uint64_t taken = 0, refused = 0, begun = 0, reported = 0, stopped = 0;
@@ -53,6 +55,7 @@
   std::map<std::string, Seen> seen_;
   std::set<std::string> busy_;          // keys that this member works on
   std::map<std::string, Ns> firstSeen_; // open ones, since when they might be claimed
+  bool leaving_ = false;
   std::size_t open_ = 0;
   Figures figures_;
 };
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -118,8 +118,8 @@
   }
 }
 
-sched::Task<> heedSignals(sched::Scheduler &sched, net::Socket &signals, clients::Door &door, Wish &wish,
-                          log::Log &log) {
+sched::Task<> heedSignals(sched::Scheduler &sched, net::Socket &signals, clients::Door &door,
+                          fleet::Fleet *fleet, Wish &wish, log::Log &log) {
   for (;;) {
     signalfd_siginfo info{};
     const auto got = read(signals.fd(), &info, sizeof info);
@@ -133,6 +133,7 @@
     }
   }
   log.info("asked to end: answers what it has taken");
+  if (fleet != nullptr) co_await fleet->close(); // first: its jobs' tries need what the door's end may take
   co_await door.close();
   log.info("ended");
   sched.halt();
@@ -239,7 +240,7 @@
   Wish wish;
   const Movable parts{paths, station, installation, watch, desk, names ? &names->names : nullptr, logs};
   sched.spawn(takeUp(sched, parts, wish, log));
-  sched.spawn(heedSignals(sched, signals, door, wish, log));
+  sched.spawn(heedSignals(sched, signals, door, fleet.get(), wish, log));
   log.info("marshal serves",
            {{"name", station.name}, {"routes", station.routes.size()}, {"at", net::text(door.address())}});
   sched.run();
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -140,6 +140,22 @@
   m.run(body());
 }
 
+TEST_CASE("a member that ends in order reports what it runs, and leaves the rest to others") {
+  Members m(3, 300 * kMilli);
+  auto body = [&]() -> sched::Task<> {
+    for (int i = 0; i < 3; ++i) co_await m.start(i);
+    std::vector<std::string> ids;
+    for (int job = 0; job < 18; ++job) ids.push_back((co_await m.post(0, job, "once")).body["id"]);
+    const auto code = co_await m.process(1).end({m.sched.now() + 10 * kSecond, nullptr});
+    CHECK(code == 0);
+    for (int job = 0; job < 18; ++job) {
+      CHECK(co_await m.ended(2, ids[static_cast<std::size_t>(job)]) == "done");
+      CHECK(m.runs(job) == 1);
+    }
+  };
+  m.run(body());
+}
+
 TEST_CASE("bad input is named and changes nothing; a damaged ledger is set aside") {
   Members m(3);
   auto body = [&]() -> sched::Task<> {
