--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,6 +1,7 @@
 #include "program/serve.h"
 
 #include "base/log/log.h"
+#include "fleet/fleet.h"
 #include "follow/catalog/watch.h"
 #include "follow/names/names.h"
 #include "follow/peers/datagrams.h"
@@ -117,8 +118,8 @@
   }
 }
 
-sched::Task<> heedSignals(sched::Scheduler &sched, net::Socket &signals, clients::Door &door, Wish &wish,
-                          log::Log &log) {
+sched::Task<> heedSignals(sched::Scheduler &sched, net::Socket &signals, clients::Door &door,
+                          fleet::Fleet *fleet, Wish &wish, log::Log &log) {
   for (;;) {
     signalfd_siginfo info{};
     const auto got = read(signals.fd(), &info, sizeof info);
@@ -132,6 +133,7 @@
     }
   }
   log.info("asked to end: answers what it has taken");
+  if (fleet != nullptr) co_await fleet->close(); // first: its jobs' tries need what the door's end may take
   co_await door.close();
   log.info("ended");
   sched.halt();
@@ -206,6 +208,14 @@
   else if (station.news.kind != json::Value::null)
     throw setup::SetupError("the configuration's 'platform.news' can't be read");
 
+  std::unique_ptr<fleet::Fleet> fleet;
+  if (installation.fleet) {
+    fleet::Routes routes{station.routes, {}};
+    for (const auto &r : station.deployment.routes) routes.kinds.push_back(r.repeat);
+    fleet = std::make_unique<fleet::Fleet>(sched, budget, marshal, pool, *installation.fleet,
+                                           std::move(routes), station.routeTimeouts, unixAtZero(sched.now()),
+                                           station.seed + 5, logs.of("fleet"));
+  }
   clients::Door door(sched, budget, marshal, pool, clientsLog, station.listen, station.routes,
                      station.routeTimeouts,
                      station.memory / 8); // what a large req takes in all is below four times it
@@ -224,12 +234,13 @@
     log.info("metrics are told", {{"at", net::text(endpoint->address())}});
     sched.spawn(endpoint->accept());
   }
+  if (fleet) fleet->start();
   sched.spawn(door.accept());
   sched.spawn(door.sweep());
   Wish wish;
   const Movable parts{paths, station, installation, watch, desk, names ? &names->names : nullptr, logs};
   sched.spawn(takeUp(sched, parts, wish, log));
-  sched.spawn(heedSignals(sched, signals, door, wish, log));
+  sched.spawn(heedSignals(sched, signals, door, fleet.get(), wish, log));
   log.info("marshal serves",
            {{"name", station.name}, {"routes", station.routes.size()}, {"at", net::text(door.address())}});
   sched.run();
