--- /dev/null
+++ b/tests/door_test.cpp
@@ -0,0 +1,203 @@
+// The clients' side: whom the door keeps, closes or turns away, and what it does not read.
+#include "house.h"
+
+using namespace myrtlehead;
+
+// With two descriptors for clients, a third and a fourth take the places of those that have been idle the
+// longest, if that has lasted for two seconds.
+static void idleClientsMakeRoom() {
+  House house(StandIn::row("value"), 0, 5);
+  auto body = [&]() -> sched::Task<> {
+    std::vector<std::unique_ptr<net::Socket>> clients;
+    std::vector<net::Buffer> buffers(4);
+    const auto start = opening();
+    const auto used = start + query("SELECT 1");
+    for (std::size_t i = 0; i < 4; ++i) {
+      if (i == 2) co_await house.loop.sched.sleep(2010 * kMs);
+      clients.push_back(co_await house.connect());
+      co_await clients[i]->write(used, {});
+      assert(co_await types(*clients[i], buffers[i], 2) == "RZTDCZ");
+    }
+    assert(co_await clients[0]->read(buffers[0], {}) == net::Cause::ended);
+    const auto ask = query(kSql);
+    co_await clients[3]->write(ask, {});
+    assert(co_await types(*clients[3], buffers[3], 1) == "TDCZ");
+  };
+  house.loop.run(body());
+}
+
+// Whoever says nothing, or half of something, is told or closed within three seconds of connecting.
+static void theSilentAreClosedSoon() {
+  House house;
+  auto body = [&]() -> sched::Task<> {
+    const std::string half("\0\0\0\60", 4), command("Q\0\0\0\60SELECT", 11);
+    int over = 0, told = 0;
+    auto client = [&](std::string bytes) -> sched::Task<> {
+      auto socket = co_await house.connect();
+      co_await socket->write(bytes, {});
+      net::Buffer b;
+      std::string code;
+      co_await types(*socket, b, 99, &code);
+      told += code == "08P01";
+      ++over;
+    };
+    const auto begun = house.loop.sched.now();
+    const std::vector<std::string> all{"", half, opening(), opening() + command};
+    for (const auto &bytes : all) house.loop.sched.spawn(client(bytes));
+    while (over < 4) co_await house.loop.sched.sleep(10 * kMs);
+    assert(house.loop.sched.now() - begun < 3 * kSec && told == 1);
+  };
+  house.loop.run(body());
+}
+
+// Connections that say nothing, or have nothing to ask just now, go for those that ask rather than these are
+// refused; the silent ones, as they may only be slow, not at once.
+static void whoAsksIsNotKeptOut() {
+  for (const auto &first : {std::string(), opening() + query("SELECT 1")}) {
+    House house(StandIn::row("value"), 0, 40);
+    auto body = [&]() -> sched::Task<> {
+      std::vector<std::unique_ptr<net::Socket>> others;
+      for (int i = 0; i < 28; ++i) {
+        others.push_back(co_await house.connect());
+        co_await others.back()->write(first, {});
+      }
+      co_await house.loop.sched.sleep(300 * kMs);
+      for (int i = 0; i < 20; ++i) {
+        auto client = co_await house.connect();
+        const auto bytes = opening() + query(kSql);
+        co_await client->write(bytes, {});
+        net::Buffer b;
+        assert(co_await types(*client, b, 2) == "RZTDCZ");
+      }
+    };
+    house.loop.run(body());
+  }
+}
+
+static void anOpenIdIsNotTakenTwice() {
+  House house(StandIn::row("value"), 50 * kMs);
+  auto body = [&]() -> sched::Task<> {
+    auto first = co_await house.connect(), second = co_await house.connect();
+    const auto bytes = opening() + query(kSql);
+    net::Buffer a, b;
+    std::string code;
+    co_await first->write(bytes, {});
+    while (house.seen.empty()) co_await house.loop.sched.sleep(kMs);
+    co_await second->write(bytes, {});
+    assert(co_await types(*second, b, 2, &code) == "RZEZ" && code == "42710" && house.seen.size() == 1);
+    assert(co_await types(*first, a, 2) == "RZTDCZ");
+    const auto again = query(kSql); // it is free again
+    co_await second->write(again, {});
+    assert(co_await types(*second, b, 1) == "TDCZ");
+  };
+  house.loop.run(body());
+}
+
+// Hundreds of commands that can't be used are answered in their order, with a line or two in the log, and
+// others are served meanwhile.
+static void theWrongByTheHundredsCostLittle() {
+  House house;
+  std::string many = opening(), answers = "RZ";
+  for (int i = 0; i < 600; ++i) {
+    many += query("SELECT v FROM records WHERE k = '7f' /* id=1,c=odd,d=5 */");
+    answers += "EZ";
+  }
+  many += query(kSql);
+  assert(reply(house, many, 602) == answers + "TDCZ");
+  const auto lines = house.loop.lines.str();
+  std::size_t said = 0;
+  for (auto at = lines.find("warning"); at != lines.npos; at = lines.find("warning", at + 1)) ++said;
+  assert(said >= 1 && said <= 2);
+}
+
+// A client that announces 60 MB and sends at full speed is told so, and the rest is not read.
+static void theHugeIsNotRead() {
+  House house;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await house.connect();
+    auto flood = [&]() -> sched::Task<> {
+      const auto bytes = opening() + std::string("Q\3\x93\x87\0", 5);
+      co_await client->write(bytes, {});
+      const std::string more(1 << 20, 'x');
+      auto cause = net::Cause::none;
+      for (int i = 0; i < 60 && cause == net::Cause::none; ++i) cause = co_await client->write(more, {});
+    };
+    house.loop.sched.spawn(flood());
+    net::Buffer b;
+    std::string code;
+    assert(co_await types(*client, b, 2, &code) == "RZE!" && code == "08P01");
+    assert(client->written() < 20u << 20);
+    auto other = co_await house.connect();
+    const auto bytes = opening() + query(kSql);
+    co_await other->write(bytes, {});
+    net::Buffer c;
+    assert(co_await types(*other, c, 2) == "RZTDCZ");
+  };
+  house.loop.run(body());
+}
+
+// Large messages are read as far as there are places for them; the others wait for those to be answered.
+static void largeMessagesWaitForAPlace() {
+  House house(StandIn::row("value"), 20 * kMs);
+  auto body = [&]() -> sched::Task<> {
+    const auto large = [](std::size_t id) {
+      return query("SELECT v FROM records WHERE k = '" + std::string(200'000, 'x') +
+                   "' /* id=" + std::to_string(id) + ",c=read,d=900 */");
+    };
+    const auto start = opening();
+    std::vector<std::unique_ptr<net::Socket>> clients;
+    std::vector<net::Buffer> buffers(8);
+    for (auto &buffer : buffers) {
+      clients.push_back(co_await house.connect());
+      co_await clients.back()->write(start, {});
+      assert(co_await types(*clients.back(), buffer, 1) == "RZ");
+    }
+    auto send = [&](std::size_t i) -> sched::Task<> {
+      const auto bytes = large(i);
+      co_await clients[i]->write(bytes, {});
+    };
+    for (std::size_t i = 0; i < clients.size(); ++i) house.loop.sched.spawn(send(i));
+    co_await house.loop.sched.sleep(10 * kMs);
+    assert(house.seen.size() <= 5); // of 200 KB each, where there is place for a megabyte
+    for (std::size_t i = 0; i < clients.size(); ++i)
+      assert(co_await types(*clients[i], buffers[i], 1) == "TDCZ");
+    assert(house.seen.size() == 8);
+  };
+  house.loop.run(body());
+}
+
+// With every client's req in hand, a new connection is refused at once rather than left in the backlog.
+static void noRoomIsSaidAtOnce() {
+  House house(StandIn::row("value"), 100 * kMs, 24);
+  auto body = [&]() -> sched::Task<> {
+    std::vector<std::unique_ptr<net::Socket>> clients;
+    std::vector<net::Buffer> buffers(20);
+    for (std::size_t i = 0; i < buffers.size(); ++i) {
+      auto sql = kSql;
+      const auto bytes = opening() + query(sql.replace(sql.find("id=1"), 4, "id=" + std::to_string(i)));
+      clients.push_back(co_await house.connect());
+      co_await clients[i]->write(bytes, {});
+      co_await house.loop.sched.sleep(kMs);
+    }
+    int served = 0, refused = 0;
+    for (std::size_t i = 0; i < buffers.size(); ++i) {
+      std::string code;
+      const auto seen = co_await types(*clients[i], buffers[i], 2, &code);
+      served += seen == "RZTDCZ";
+      refused += seen == "RZE!" && code == "53300";
+    }
+    assert(served + refused == 20 && served >= 15 && refused > 0);
+  };
+  house.loop.run(body());
+}
+
+int main() {
+  idleClientsMakeRoom();
+  theSilentAreClosedSoon();
+  whoAsksIsNotKeptOut();
+  anOpenIdIsNotTakenTwice();
+  theWrongByTheHundredsCostLittle();
+  theHugeIsNotRead();
+  largeMessagesWaitForAPlace();
+  noRoomIsSaidAtOnce();
+}
