A member's own claim that ran out unused can be made anew by it

Cause: found on reading: Jobs::advance took a record claimed by this life for an answer that was lost, however old; so a claim that its holder did not use in time could be taken by others alone, and by nobody in a fleet of one.

Change: a spent own claim is made anew; an unused variable is gone.

No test fails without the change yet.

--- a/src/fleet/jobs.cpp
+++ b/src/fleet/jobs.cpp
@@ -156,7 +156,12 @@
   const net::Until until{sched_.now() + kStep, nullptr};
   const Registers::Step next = [this, made, step](const std::string &is) -> std::optional<std::string> {
     auto record = readRecord(is);
-    if (!record || (record->job.state == made && own(record->job))) return std::nullopt;
+    if (!record) return std::nullopt;
+    // An own claim that has run out unused is no answer that was lost: it is made anew, or it would stand for
+    // ever.
+    const bool spent = made == State::claimed && !custody::mayBegin(record->job, registers_.me(),
+                                                                    ledger_.life(), now(), membership_.terms);
+    if (record->job.state == made && own(record->job) && !spent) return std::nullopt;
     auto job = step(record->job);
     if (!job) return std::nullopt;
     record->job = std::move(*job);
@@ -226,7 +231,7 @@
     co_return;
   ++figures_.begun;
   log_.debug("a job begins", {{"job", record->job.id}, {"starts", record->job.starts}});
-  const auto stop = std::make_shared<sched::Stop>(), over = std::make_shared<sched::Stop>();
+  const auto stop = std::make_shared<sched::Stop>();
   sched_.spawn(renew(key, stop, record->job.until));
   const auto ran = co_await runner_.run(*record, *stop);
   stop->request();
