A signal that comes while the configuration is read is heeded, not fatal

Cause: serve() blocked signals only behind readStation and readInstallation (serve.cpp, signalDescriptor's call): a SIGHUP or SIGTERM before that took its default action and ended the process without a word. Shown by a configuration that is a pipe, so that the signal falls into the reading each time: on the lines before, the child's log ended ('Assertion cause == Cause::none', it had died of SIGHUP); ruled out that the pipe itself ended it, as the same test passes now. Change: they are blocked first. Measured: tests/signals_test passes, three cases; it failed with the call where it stood.

--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -39,7 +39,7 @@
   return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, static_cast<rlim_t>(told)));
 }
 
-// Before the scheduler watches anything, so that no signal falls between.
+// Guards against a signal that comes before its reader: from here on it waits for one.
 int signalDescriptor() {
   sigset_t set;
   sigemptyset(&set);
@@ -169,6 +169,7 @@
 } // namespace
 
 void serve(const Paths &paths) {
+  const int hadSignals = signalDescriptor(); // before the configuration is read, and before any thread begins
   const auto station = setup::readStation(setup::readFile(paths.configuration));
   auto installation = readInstallation(paths, station);
   if (paths.logLevels) installation.levels = *paths.logLevels;
@@ -188,7 +189,6 @@
   nodes::Pool pool(sched, budget, nodesLog, station.connectWithin, station.idleAtMost, station.loadNames,
                    station.memory / 8); // what a large answer takes in all is below three times it
   std::unique_ptr<NamesPart> names;
-  const auto hadSignals = signalDescriptor(); // before any thread begins
   if (!installation.naming.sets.empty())
     names = std::make_unique<NamesPart>(sched, budget, marshal, station, installation, logs.of("names"));
   std::unique_ptr<metrics::Endpoint> endpoint;
