Reqs that come in the moment in which the door closes are answered, not reset

Cause, from reading, each shown by a test that holds a round back until the other side has come to the point: Scheduler::root begins with sleep(0), and the session stood in all_ from its own first line on only, so Door::close, woken in the round of the accept, walked an empty list, returned, and the program halted over a taken req ('client->all() == "RZTDCZ"' failed: nothing came). close() reset the listener with whatever the backlog held (the same line, 50 clients), and accept() might have been asleep for want of descriptors then ('codes == "53300 "' failed). Ruled out: the client, which had written its req whole before, and the listener, on which the machine had accepted it. Change: a session stands in the lists from its accept on; the backlog is emptied before the listener goes, and where descriptors are short those that end make room. When what ends is decided in decide/closing. What remains is the time between the last accept4, which finds nothing, and close(2): two calls in a row with nothing awaited.

--- a/src/front/clients/door.cpp
+++ b/src/front/clients/door.cpp
@@ -11,7 +11,6 @@
 constexpr int kKept = 4;               // one descriptor in so many stays with nodes and control connections
 constexpr int kForReqs = 3;            // one part in so many of the descriptors is for clients' reqs
 constexpr int kLast = 12;              // and one in so many is not even spent on refusing clients
-constexpr Ns kStillOpen = kSec / 2;    // after the wish to end: a front may send on for a while
 constexpr Ns kRetryAccept = kSec / 10; // where the machine has no descriptor left
 constexpr Ns kPartedLeast = kSec / 10; // for a client to see that it is parted with
 constexpr Ns kEarlyLeast = kSec;       // for a startup message to come
@@ -19,11 +18,9 @@
 constexpr Ns kIdleLeast = 2 * kSec;    // a connection without an open req may be closed after this
 constexpr Ns kIdleMost = 10 * kSec;    // and is, after this, or at once if it has never asked anything
 constexpr Ns kSweep = kSec / 4, kFaultSaid = kSec;
+constexpr int kMostGone = 1000; // connections of the backlog that ended in it
 
-net::Task<> session(Door &door, std::unique_ptr<net::Socket> socket, std::uint32_t number, bool stays) {
-  Session session(door, std::move(socket), number);
-  co_await session.run(stays);
-}
+net::Task<> run(std::unique_ptr<Session> session, bool stays) { co_await session->run(stays); }
 
 } // namespace
 
@@ -85,6 +82,12 @@
   faultSaid_ = sched_.now();
 }
 
+// The session is in all lists from here on: whoever closes the door in this round finds it there.
+void Door::take(std::unique_ptr<net::Socket> accepted) {
+  const bool stays = mayStay();
+  sched_.spawn(run(std::make_unique<Session>(*this, std::move(accepted), ++sessions_), stays));
+}
+
 net::Task<> Door::accept() {
   while (!noMore_.requested()) {
     if (budget_.left() <= budget_.most() / kLast) {
@@ -95,8 +98,7 @@
     }
     auto accepted = net::acceptNow(sched_, budget_, *listener_);
     if (accepted) {
-      const bool stays = mayStay();
-      sched_.spawn(session(*this, std::move(*accepted), ++sessions_, stays));
+      take(std::move(*accepted));
     } else if (accepted.failure().cause == Cause::timedOut) {
       const net::Until until{sched::kNever, &noMore_};
       co_await listener_->readable(until);
@@ -110,11 +112,40 @@
   }
 }
 
+// Guards reqs on connections that the machine has accepted and this marshal has not: closing the listener
+// resets them. Where descriptors are short, those that end make room.
+net::Task<> Door::emptyBacklog() {
+  for (int gone = 0; gone < kMostGone;) {
+    auto cause = Cause::noDescriptor;
+    if (budget_.left() > budget_.most() / kLast) {
+      auto accepted = net::acceptNow(sched_, budget_, *listener_);
+      if (accepted) {
+        take(std::move(*accepted));
+        continue;
+      }
+      cause = accepted.failure().cause;
+    }
+    if (cause == Cause::timedOut) co_return;
+    gone += cause != Cause::noDescriptor; // that client has gone already
+    if (cause != Cause::noDescriptor) continue;
+    endAll();
+    const net::Until latest{closing_.restBy(), nullptr};
+    const auto woken = co_await sched_.wait(budget_.freed, latest);
+    if (woken != sched::Woken::signalled) co_return;
+  }
+}
+
+void Door::endAll() {
+  for (auto *session : all_) session->end();
+}
+
 net::Task<> Door::close() {
-  co_await sched_.sleep(kStillOpen);
+  closing_.asked(sched_.now());
+  co_await sched_.sleep(closing_.closesAt() - sched_.now());
   noMore_.request();
-  listener_.reset();
-  for (auto *session : all_) session->stopIdling();
+  co_await emptyBacklog();
+  listener_.reset(); // right behind the last look: what comes between the two is reset
+  endAll();
   while (!all_.empty()) co_await sched_.wait(ended_);
 }
 
--- a/src/front/clients/door.h
+++ b/src/front/clients/door.h
@@ -3,6 +3,7 @@
 
 #include "base/net/places.h"
 #include "base/net/socket.h"
+#include "decide/closing/closing.h"
 #include "marshal/marshal.h"
 #include "nodes/pool.h"
 
@@ -18,8 +19,8 @@
 
   net::Task<> accept();
   net::Task<> sweep(); // closes what has stood idle too long, for as long as the marshal lives
-  // New connections and reqs are still taken for a while; then idle connections go, the others as they are
-  // answered. Returns when none is left.
+  // New connections and reqs are still taken for a while, and what stands in the backlog then; after that
+  // idle connections go, the others as they are answered. Returns when none is left.
   net::Task<> close();
   net::Address address() const { return net::localAddress(*listener_); }
 
@@ -28,6 +29,9 @@
   bool mayStay();  // whether a connection just accepted may
   bool makeRoom(); // false: no connection can be spared
   void fault(std::string_view what);
+  void take(std::unique_ptr<net::Socket> accepted);
+  net::Task<> emptyBacklog();
+  void endAll();
   net::Scheduler &sched_;
   net::Descriptors &budget_;
   Marshal &marshal_;
@@ -38,6 +42,7 @@
   net::Places places_; // for large messages
   std::unique_ptr<net::Socket> listener_;
   sched::Stop noMore_; // ends accept()
+  closing::Closing closing_;
   bool short_ = false; // of descriptors
   std::uint32_t sessions_ = 0;
   std::list<class Session *> all_;
--- a/src/front/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -69,6 +69,8 @@
   if (ready) pg::addReady(out_);
 }
 
+void Session::end() { stopIdling(); }
+
 net::Task<> Session::breakOff(std::string_view message) {
   door_.fault(message);
   pg::addError(out_, {"FATAL", "08P01", message});
--- a/src/front/clients/session.h
+++ b/src/front/clients/session.h
@@ -16,6 +16,7 @@
 
   net::Task<> run(bool stays); // if not, it is refused: there is no descriptor to spare
   void stopIdling();           // it may be closed now, being between reqs
+  void end();                  // likewise, as the marshal ends
   Ns since() const { return since_; }
   bool hasAsked() const { return asked_; }
 
