A connection ends in order: the last answer stays whole, what crosses is left unread

Cause, from reading, each shown by a test: the last look (readNow) and close() in Session::nextMessage are two steps, and bytes between them make a reset that can overtake the answer written last ('got == "RZTDCZ"' failed, with a reset behind it); at the marshal's end a connection just opened was closed before its startup message could come ('said->all()' failed), half a message was told off as one that does not end, though its rest was on the way, and reqs pipelined behind one in hand were begun so late that a kill would find them ('codes == "53300 53300 "' failed: they were sent on). Change: writing ends first, then the client's own end is waited for, a second at most, with nothing read: a req that crosses our end was not read, so by the protocol the client sends it once more elsewhere, and no node has seen it. One last look alone, so that a client with ever a further req can't keep a connection open. clients_test's check that the door has closed stands behind the clients' own ends now, as it waits for these.

--- a/src/front/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -3,6 +3,7 @@
 #include "guard/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace myrtlehead::clients {
 
@@ -69,8 +70,6 @@
   if (ready) pg::addReady(out_);
 }
 
-void Session::end() { stopIdling(); }
-
 net::Task<> Session::breakOff(std::string_view message) {
   door_.fault(message);
   pg::addError(out_, {"FATAL", "08P01", message});
@@ -84,6 +83,10 @@
   if (parting_) gone_.request();
 }
 
+void Session::end() {
+  if (!parting_) stopIdling(); // else it ends soon by itself
+}
+
 // Guards what was said last: closed with bytes unread, a connection is reset, and the client may not see it.
 // Little is read of what still comes, and nothing of 60 MB.
 net::Task<> Session::partWith() {
@@ -99,6 +102,17 @@
   if (cause == Cause::none) co_await door_.sched_.sleep(until.at - door_.sched_.now(), &gone_);
 }
 
+// Guards the answer written last, and a req that crosses our wish to close: closed with bytes unread, a
+// connection is reset, which can overtake the answer. The client sees our end first, and what it has sent
+// into that end was not read: by the protocol it sends it once more elsewhere. So nothing is read here, and
+// no req is cut off half-answered.
+net::Task<> Session::endBetween() {
+  parting_ = true;
+  stand(parted);
+  socket_->endWriting();
+  co_await door_.sched_.sleep(kPartWithin, &gone_);
+}
+
 net::Task<> Session::run(bool stays) {
   stand(early);
   const bool started = co_await startUp(stays ? kStartWithin : kPartWithin);
@@ -140,7 +154,9 @@
     const auto parsed = pg::parseStartup(buffer_.view(), startup);
     if (parsed == pg::Parsed::more) {
       auto cause = co_await socket_->read(buffer_, until);
-      if (cause == Cause::stopped) cause = socket_->readNow(buffer_);
+      if (cause == Cause::stopped) cause = co_await lastRead(0);
+      const bool nothing = enough_.requested() && cause == Cause::timedOut;
+      if (nothing) co_await endBetween();
       if (cause != Cause::none) co_return false;
       continue;
     }
@@ -178,18 +194,32 @@
     if (faults_ >= kTurn) co_await rest();
     const bool between = buffer_.empty();
     if (!between && begun == 0) begun = asked_ ? door_.sched_.now() + kReadWithin : opened_ + kFirstWithin;
+    if (!between && door_.closing_.is()) begun = std::min(begun, door_.closing_.restBy());
     if (!between && !co_await takePlace(begun)) co_return false;
     stand(between ? idle : busy);
-    const net::Until until = between ? net::Until{sched::kNever, &enough_} : net::Until{begun, nullptr};
-    auto cause = co_await socket_->read(buffer_, until);
+    const net::Until until{between ? sched::kNever : begun, &enough_};
+    auto cause = enough_.requested() ? Cause::stopped : co_await socket_->read(buffer_, until);
     stand(busy);
-    // Guards the req that has crossed our wish to close.
-    if (cause == Cause::stopped) cause = socket_->readNow(buffer_);
-    if (cause == Cause::timedOut && !between) co_await breakOff("a message that does not end");
+    if (cause == Cause::stopped) cause = co_await lastRead(begun);
+    const bool ends = cause == Cause::timedOut && enough_.requested();
+    if (ends) co_await endBetween();
+    if (!ends && cause == Cause::timedOut) co_await breakOff("a message that does not end");
     if (cause != Cause::none) co_return false;
   }
 }
 
+// What is still read once the connection is wanted back: the rest of a message that has begun, and, as the
+// marshal ends, a new connection's first. Else one look, which guards the req that has crossed the wish; and
+// no second one, as a client may always have a further req.
+net::Task<Cause> Session::lastRead(Ns begun) {
+  const bool fresh = !asked_ && door_.closing_.is();
+  if (begun == 0 && !fresh)
+    co_return std::exchange(looked_, true) ? Cause::timedOut : socket_->readNow(buffer_);
+  const net::Until until{begun > 0 ? begun : door_.closing_.restBy(), nullptr};
+  const auto cause = co_await socket_->read(buffer_, until);
+  co_return cause;
+}
+
 net::Task<bool> Session::takePlace(Ns latest) {
   const auto size = pg::announcedSize(buffer_.view());
   if (size <= kSmall || place_.held()) co_return true;
@@ -273,6 +303,11 @@
   }
   const OpenId open{door_.openIds_, at};
   asked_ = true;
+  if (!door_.closing_.mayBegin(door_.sched_.now())) {
+    pg::addError(out_, {"ERROR", "53300", "this marshal ends; trying again is harmless"});
+    pg::addReady(out_);
+    co_return true;
+  }
   const bool written = co_await flush();
   if (!written) co_return false;
   auto &marshal = door_.marshal_;
--- a/src/front/clients/session.h
+++ b/src/front/clients/session.h
@@ -16,7 +16,7 @@
 
   net::Task<> run(bool stays); // if not, it is refused: there is no descriptor to spare
   void stopIdling();           // it may be closed now, being between reqs
-  void end();                  // likewise, as the marshal ends
+  void end();                  // likewise, as the marshal ends: what has come is still answered
   Ns since() const { return since_; }
   bool hasAsked() const { return asked_; }
 
@@ -26,6 +26,8 @@
   std::list<Session *> &list(Standing of);
   net::Task<bool> startUp(Ns within);
   net::Task<> partWith();
+  net::Task<> endBetween();
+  net::Task<net::Cause> lastRead(Ns begun);
   net::Task<bool> nextMessage(pg::Message &out);
   net::Task<> rest();
   net::Task<bool> takePlace(Ns latest);
@@ -47,6 +49,7 @@
   Standing standing_ = busy;
   Ns opened_, since_; // when it was opened, and when it came to stand as it does
   bool asked_ = false, parting_ = false;
+  bool looked_ = false; // for the last time, at what has come
   unsigned faults_ = 0;
   std::string out_;  // answers not yet written
   net::Place place_; // of its large message
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -124,6 +124,7 @@
     assert(co_await busy->read(b, {}) == net::Cause::ended);
     assert(
         !co_await net::connect(house.loop.sched, house.loop.budget, *net::parseAddress("127.0.0.1:1"), {}));
+    idle.reset(), busy.reset(), late.reset(); // as clients do that see our end
     co_await house.loop.sched.sleep(10 * kMs);
     assert(house.seen.back() == "closed");
   };
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -153,8 +153,102 @@
   assert(served >= 10);
 }
 
+// A connection that came last has its startup message still on the way.
+static void aNewConnectionMayStillSay() {
+  Ending house;
+  std::unique_ptr<Raw> said, asked, silent;
+  house.at(kTaken - 10 * kMs, [&] {
+    said = std::make_unique<Raw>(house.door.address());
+    asked = std::make_unique<Raw>(house.door.address());
+    silent = std::make_unique<Raw>(house.door.address());
+    asked->write(opening());
+  });
+  house.at(kTaken + 60 * kMs, [&] {
+    said->write(opening() + ask(1));
+    asked->write(ask(2));
+  });
+  house.run();
+  assert(said->all() == "RZTDCZ" && asked->all() == "RZTDCZ" && silent->all().empty());
+}
+
+// Behind one in hand: what can't be begun in time is told that trying again is harmless; none is passed over.
+static void whatIsPipelinedIsToldInOrder() {
+  Ending house(StandIn::row("value"), 300 * kMs);
+  Raw client(house.door.address());
+  client.write(opening());
+  house.at(kTaken - 50 * kMs, [&] { client.write(ask(1) + ask(2, "once") + ask(3)); });
+  house.run();
+  std::string codes;
+  assert(client.all(&codes) == "RZTDCZEZEZ" && codes == "53300 53300 ");
+  assert(house.seen.size() == 1 && house.took < 2 * kSec + kTaken);
+}
+
+// A client that always has a further req can't keep the marshal from its end; what was read is answered.
+static void aClientThatGoesOnIsEnded() {
+  Ending house;
+  Raw client(house.door.address());
+  client.write(opening());
+  int id = 0;
+  for (Ns t = kMs; t < 2 * kSec; t += kMs) house.at(t, [&] { client.write(ask(++id)); });
+  house.run();
+  assert(house.took < kTaken + 1500 * kMs);
+  auto got = client.all();
+  assert(got.substr(0, 2) == "RZ");
+  if (got.back() == '!') got.pop_back(); // what crossed our end is unread, long after it
+  for (got = got.substr(2); !got.empty(); got = got.substr(4)) assert(got.substr(0, 4) == "TDCZ");
+}
+
+// The rest of a message that has begun is waited for, a while.
+static void halfAMessageIsWaitedForAWhile() {
+  Ending house;
+  Raw whole(house.door.address()), half(house.door.address());
+  whole.write(opening()), half.write(opening());
+  const auto bytes = ask(1);
+  house.at(kTaken - 20 * kMs, [&] { whole.write(bytes.substr(0, 9)), half.write(bytes.substr(0, 9)); });
+  house.at(kTaken + 80 * kMs, [&] { whole.write(bytes.substr(9)); });
+  house.run();
+  assert(whole.all() == "RZTDCZ" && half.all() == "RZ" && house.took < kTaken + 1500 * kMs);
+}
+
+// What crosses our end is not read, and resets nothing before the client has seen what was said last.
+static void whatCrossesTheEndResetsNothing() {
+  Ending house;
+  Raw client(house.door.address());
+  client.write(opening() + ask(1));
+  bool ended = false;
+  std::string got;
+  house.at(kTaken + 200 * kMs, [&] { client.write(ask(2)); }); // into our end, which it has not read yet
+  house.at(kTaken + 300 * kMs, [&] { got = client.all(), ended = true; });
+  house.run();
+  assert(ended && got == "RZTDCZ" && house.seen.size() == 1);
+  assert(house.took < kTaken + 500 * kMs); // it ends as the client does
+}
+
+// The same for a connection that is taken back for want of descriptors.
+static void aConnectionTakenBackEndsInOrder() {
+  House house(StandIn::row("value"), 0, 12);
+  auto body = [&]() -> sched::Task<> {
+    Raw first(house.door.address());
+    first.write(opening() + ask(1));
+    co_await house.loop.sched.sleep(2100 * kMs);
+    std::vector<std::unique_ptr<Raw>> others;
+    for (int i = 0; i < 5; ++i) others.push_back(std::make_unique<Raw>(house.door.address()));
+    co_await house.loop.sched.sleep(20 * kMs);
+    first.write(ask(2));
+    co_await house.loop.sched.sleep(20 * kMs);
+    assert(first.all() == "RZTDCZ");
+  };
+  house.loop.run(body());
+}
+
 int main() {
   aSessionThatHasNotBegunIsEndedInOrder();
   theBacklogIsAnswered();
   theBacklogIsToldWhereDescriptorsAreShort();
+  aNewConnectionMayStillSay();
+  whatIsPipelinedIsToldInOrder();
+  aClientThatGoesOnIsEnded();
+  halfAMessageIsWaitedForAWhile();
+  whatCrossesTheEndResetsNothing();
+  aConnectionTakenBackEndsInOrder();
 }
