An end or a refusal of the list's calls is told whenever it leaves nothing at the present place

Cause, from reading, shown by tests: Watch::follow returned at 'turn != turn_', so a watch that ended while a newer call was out told nobody; was that call refused first, Subscription::ended had returned early as lively, and nothing was asked for until 2.4 to 3.8 s after the last line (the new test waits for the next call: none within a second). And after a move each line of the former place's watch (line(): callAt_ = now + kLine + kLate) put off the call that a refusal at the new place had made due, for as long as the former place went on talking: with a line each 0.1 s the new place was never asked again, while what it has to tell counts four seconds after the move. Ruled out: calls::Exchange, which reports both ends. Change: every end is told but that of a watch which a newer one's line has replaced, with what else is open at the present place: nothing, a call, or a watch. A former place's lines are followed and put nothing off; from 3.5 s after a move without a word from the new place only nodes that have just served are sent to. Measured: watch_test, six cases, and subscription_test, twelve, pass.

--- a/src/decide/subscription/subscription.cpp
+++ b/src/decide/subscription/subscription.cpp
@@ -12,8 +12,9 @@
 // The fleet's calls after a silence: what is left of the told time but for discovery's own two seconds in
 // which it answers or refuses; after a move, within its four seconds likewise.
 constexpr Ns kSilenceSpread = 1400 * kMs, kMoveSpread = 1500 * kMs;
-constexpr Ns kProof = 5500 * kMs;    // the told time less a way there, a try's and the drain's own slack
-constexpr Ns kUnanswered = 3 * kSec; // a call that discovery has neither answered nor refused is made again
+constexpr Ns kProof = 5500 * kMs;      // the told time less a way there, a try's and the drain's own slack
+constexpr Ns kMovedProof = 3500 * kMs; // the same of the four seconds after a move
+constexpr Ns kUnanswered = 3 * kSec;   // a call that discovery has neither answered nor refused is made again
 // After a failure: a marshal alone, each further one of the fleet, and all of them once it goes on failing.
 constexpr Ns kRetry = 400 * kMs, kEach = 20 * kMs, kMost = 6 * kSec;
 constexpr Ns kAgent = 150 * kMs; // where lists are pushed an agent of this marshal's own is asked
@@ -33,18 +34,20 @@
   cut_ = false;
 }
 
-void Subscription::line(Ns now, double chance) {
+void Subscription::line(bool here, Ns now, double chance) {
+  if (!here) return;
   answered();
-  lineAt_ = now;
+  lineAt_ = now, movedAt_ = 0;
   callAt_ = now + kLine + kLate + turn(asked_ ? kSilenceSpread : 0, chance);
 }
 
 // Guards against a fleet whose own calls keep discovery from answering any: the longer it fails, the rarer
 // they get, drawn apart. The first call after a watch was ended comes within the time that the settings give
 // for asking.
-void Subscription::ended(Ended how, bool another, Ns now, double chance) {
-  if (another && lively(now)) return; // what is still open speaks for itself
+void Subscription::ended(Ended how, Others others, Ns now, double chance) {
+  if (others == Others::stands && lively(now)) return; // what is still open speaks for itself
   cut_ = cut_ || how == Ended::cut;
+  if (others == Others::asked) return; // so does a call that is out, by its end or once its time has passed
   Ns first = asked_ ? std::max(kRetry, kEach * marshals_) : kAgent;
   if (how == Ended::cut && askEvery_ > 0) first = std::min(first, std::max(kRetry, askEvery_ / 4));
   const Ns pause = asked_ ? std::min(first << std::min(failures_, 10), std::max(first, kMost)) : first;
@@ -54,10 +57,12 @@
 
 void Subscription::moved(Ns now, double chance) {
   failures_ = 0;
+  movedAt_ = now;
   callAt_ = now + turn(asked_ ? kMoveSpread : 0, chance);
 }
 
 Ns Subscription::provenSince(Ns now) const {
+  if (movedAt_ != 0 && now >= movedAt_ + kMovedProof) return now - kMovedProof;
   if (lineAt_ == 0 || cut_ || now < lineAt_ + kProof) return 0;
   return now - kProof;
 }
--- a/src/decide/subscription/subscription.h
+++ b/src/decide/subscription/subscription.h
@@ -20,6 +20,9 @@
 // down.
 enum class Ended { refused, unreachable, cut };
 
+// What else is open at discovery's present place: nothing, a call that has not told anything yet, or a watch.
+enum class Others { none, asked, stands };
+
 class Subscription {
 public:
   // `chance` is from [0, 1) here and below. The first call is due at once.
@@ -30,10 +33,11 @@
   // Facts.
   void called(Ns now); // a call has gone out
   void answered();     // the subscription stands
-  void line(Ns now,
-            double chance); // of any open watch, a sign of life too: it stands, and is to go on telling
-  void ended(Ended how, bool another, Ns now, double chance); // another: a further call or watch is open
-  void moved(Ns now, double chance);                          // discovery is somewhere else from now on
+  // Of any open watch, a sign of life too. Here: at the present place, where it is to go on telling; a line
+  // of a former place says nothing of what the present one has to tell.
+  void line(bool here, Ns now, double chance);
+  void ended(Ended how, Others others, Ns now, double chance);
+  void moved(Ns now, double chance); // discovery is somewhere else from now on
 
   Ns callAt() const { return callAt_; } // when the next call goes out; kNoCall: not as things stand
   // A node may only be sent to if it has served a try that was sent to it since then; 0: the list is to be
@@ -46,7 +50,8 @@
   int me_, marshals_;
   bool asked_;
   Ns askEvery_;
-  Ns callAt_ = 0, lineAt_ = 0;
+  Ns callAt_ = 0, lineAt_ = 0; // lineAt_: the last line here
+  Ns movedAt_ = 0;             // no line has come since the move; 0: one has
   bool lively(Ns now) const;
   bool cut_ = false; // the last watch was ended by discovery, and had not fallen silent
   int failures_ = 0; // calls in a row
--- a/src/follow/catalog/watch.cpp
+++ b/src/follow/catalog/watch.cpp
@@ -1,9 +1,12 @@
 #include "follow/catalog/watch.h"
 
+#include <algorithm>
+
 namespace myrtlehead::catalog {
 
 using subscription::Ended;
 using subscription::kOver;
+using subscription::Others;
 
 bool Watch::start(const json::Value &known) {
   std::string error;
@@ -25,55 +28,63 @@
 void Watch::moveTo(net::Address at) {
   if (at == at_) return;
   at_ = at;
+  ++place_;
   marshal_.listMoved();
 }
 
 // Guards against a gap in the list: an older watch, which may give no answer or be about to end, is followed
 // until a newer one has told something.
 void Watch::open() {
-  open_[++turn_] = std::make_shared<sched::Stop>();
+  open_[++turn_] = std::make_shared<Open>(at_, place_);
   sched_.spawn(follow(turn_, open_[turn_]));
 }
 
 void Watch::replaces(std::uint64_t turn) {
   while (!open_.empty() && open_.begin()->first < turn) {
-    open_.begin()->second->request();
+    open_.begin()->second->replaced.request();
     open_.erase(open_.begin());
   }
 }
 
-net::Task<> Watch::follow(std::uint64_t turn, std::shared_ptr<sched::Stop> stop) {
+subscription::Others Watch::others() const {
+  auto out = subscription::Others::none;
+  for (const auto &[turn, open] : open_)
+    if (open->place == place_) out = std::max(out, open->told ? Others::stands : Others::asked);
+  return out;
+}
+
+net::Task<> Watch::follow(std::uint64_t turn, std::shared_ptr<Open> self) {
+  auto *stop = &self->replaced;
   calls::Exchange call(sched_, budget_);
   const auto target = "/catalog/members?stream=1&index=" + std::to_string(index_);
   auto request = http::writeRequest("GET", target, "discovery");
-  const net::Until first{sched_.now() + kOver, stop.get()};
-  const auto asked = co_await call.ask(at_, std::move(request), first);
+  const net::Until first{sched_.now() + kOver, stop};
+  const auto asked = co_await call.ask(self->at, std::move(request), first);
   auto cause = asked.cause;
   std::string line;
   if (cause == net::Cause::none && call.head().status != 200) cause = net::Cause::refused;
-  bool told = false;
   while (cause == net::Cause::none) {
     while (cause == net::Cause::none && !stop->requested() && http::takeLine(call.body, line)) {
       if (!line.empty() && !this->line(line)) {
         cause = net::Cause::unreadable;
       } else {
-        told = true;
-        marshal_.listLine();
+        self->told = true;
+        marshal_.listLine(self->place == place_);
         replaces(turn);
       }
     }
     if (cause != net::Cause::none) break;
-    const net::Until next{sched_.now() + kOver, stop.get()};
+    const net::Until next{sched_.now() + kOver, stop};
     cause = co_await call.more(next);
   }
   open_.erase(turn);
-  if (turn != turn_) co_return; // replaced meanwhile, or asked anew for its silence
+  if (stop->requested()) co_return; // replaced: a newer one tells
   log_.info("watch on discovery ended", {{"cause", net::word(cause)}, {"status", call.head().status}});
   const bool itsEnd = cause == net::Cause::ended || cause == net::Cause::broken;
   marshal_.listEnded(asked.reach == net::Reach::unconnected ? Ended::unreachable
-                     : told && itsEnd                       ? Ended::cut
+                     : self->told && itsEnd                 ? Ended::cut
                                                             : Ended::refused,
-                     !open_.empty());
+                     others(), open_.empty());
 }
 
 bool Watch::line(const std::string &text) {
--- a/src/follow/catalog/watch.h
+++ b/src/follow/catalog/watch.h
@@ -20,8 +20,17 @@
   void moveTo(net::Address at); // asks there at once
 
 private:
+  // A call for the list and the watch that comes of it.
+  struct Open {
+    Open(net::Address to, std::uint64_t itsPlace) : at(to), place(itsPlace) {}
+    sched::Stop replaced; // a newer one has told something
+    net::Address at;
+    std::uint64_t place;
+    bool told = false;
+  };
   void open();
-  net::Task<> follow(std::uint64_t turn, std::shared_ptr<sched::Stop> stop);
+  net::Task<> follow(std::uint64_t turn, std::shared_ptr<Open> self);
+  subscription::Others others() const;
   void replaces(std::uint64_t turn);
   bool line(const std::string &text);
   net::Scheduler &sched_;
@@ -32,7 +41,8 @@
   std::vector<std::string> zones_;
   Ns unixAtZero_;
   std::uint64_t index_ = 0, turn_ = 0;
-  std::map<std::uint64_t, std::shared_ptr<sched::Stop>> open_; // by their turns
+  std::uint64_t place_ = 0;                             // counts moves
+  std::map<std::uint64_t, std::shared_ptr<Open>> open_; // by their turns
 };
 
 } // namespace myrtlehead::catalog
--- a/src/marshal/marshal.cpp
+++ b/src/marshal/marshal.cpp
@@ -184,14 +184,14 @@
   round();
 }
 
-void Marshal::listLine() {
-  subscription_.line(now(), listDraw());
+void Marshal::listLine(bool here) {
+  subscription_.line(here, now(), listDraw());
   listSignal_.notify();
 }
 
-void Marshal::listEnded(subscription::Ended how, bool another) {
-  if (sources_ != nullptr && !another) sources_->listFailed();
-  subscription_.ended(how, another, now(), listDraw());
+void Marshal::listEnded(subscription::Ended how, subscription::Others others, bool last) {
+  if (sources_ != nullptr && last) sources_->listFailed();
+  subscription_.ended(how, others, now(), listDraw());
   listSignal_.notify();
   round();
 }
--- a/src/marshal/marshal.h
+++ b/src/marshal/marshal.h
@@ -61,9 +61,9 @@
   // The node list.
   sched::Task<> listWanted(); // returns when a subscription is to be asked for, and takes it as asked for
   void listed(const std::vector<Entry> &entries, bool whole);
-  void listLine();                                       // a sign of life, or what listed() was told
-  void listEnded(subscription::Ended how, bool another); // another: a further call or watch is open
-  void listMoved();                                      // discovery is somewhere else from now on
+  void listLine(bool here); // a sign of life, or what listed() was told; here: at discovery's present place
+  void listEnded(subscription::Ended how, subscription::Others others, bool last); // last: nothing is open
+  void listMoved(); // discovery is somewhere else from now on
   Target *find(const std::string &name);
 
   // Name records: from now on the list and they make one set by the rule of `sources`, which must live as
--- a/src/sim/wirehost/facts.cpp
+++ b/src/sim/wirehost/facts.cpp
@@ -31,7 +31,7 @@
   const auto no = in.u16();
   if (kind > 3) in.fail("unknown kind of list news " + std::to_string(kind));
   if (kind == 3) // failures bear no mark of their call
-    return m.subscription.ended(subscription::Ended::refused, false, now_,
+    return m.subscription.ended(subscription::Ended::refused, subscription::Others::none, now_,
                                 std::uniform_real_distribution<double>(0, 1)(m.chance));
   if (no >= std::size(lists_)) in.fail("list number " + std::to_string(no) + " is above 15");
   for (const auto &e : lists_[no]) {
--- a/tests/subscription_test.cpp
+++ b/tests/subscription_test.cpp
@@ -34,13 +34,13 @@
       std::size_t open = 0;
       for (auto &m : all) {
         if (m.answerAt != 0 && m.answerAt <= now)
-          m.s->line(m.answerAt, draw()), m.lineAt = m.answerAt, m.answerAt = 0;
+          m.s->line(true, m.answerAt, draw()), m.lineAt = m.answerAt, m.answerAt = 0;
         open += m.lineAt < from;
         if (m.answerAt != 0 || m.lineAt >= from || m.s->callAt() > now) continue;
         m.s->called(now), ++calls;
         busyUntil = std::max(busyUntil, now) + each / 20; // a refusal costs it something, too
         if (busyUntil - now > 2 * kSec) {
-          m.s->ended(Ended::refused, false, now, draw());
+          m.s->ended(Ended::refused, Others::none, now, draw());
           continue;
         }
         busyUntil += each, m.answerAt = busyUntil;
@@ -67,7 +67,7 @@
   for (const int marshals : {1, 30, 300}) {
     Fleet fleet(marshals, 200, fleetOf(1));
     const Ns last = 6 * kSec;
-    for (auto &m : fleet.all) m.s->line(last, fleet.draw()), m.lineAt = last;
+    for (auto &m : fleet.all) m.s->line(true, last, fleet.draw()), m.lineAt = last;
     const Ns took = fleet.answered(last + kMs);
     CHECK(took > 2 * kSec); // none before a line is overdue
     CHECK(took < 6 * kSec - 500 * kMs);
@@ -81,7 +81,7 @@
   std::knuth_b chance(7);
   for (d.me = 0; d.me < 300; ++d.me) {
     Subscription s(d);
-    s.line(0, std::uniform_real_distribution<double>(0, 1)(chance));
+    s.line(true, 0, std::uniform_real_distribution<double>(0, 1)(chance));
     ++bySecondTenths[static_cast<std::size_t>(s.callAt() / (100 * kMs))];
   }
   for (const int calls : bySecondTenths) CHECK(calls <= 25); // 300 over 1.4 s
@@ -91,7 +91,7 @@
   // Scored: 70 refused calls a second kept it from answering.
   for (const auto &[marshals, most] : {std::pair{1, kSec}, {3, kSec}, {100, 15 * kSec}, {500, 75 * kSec}}) {
     Fleet fleet(marshals, 10, fleetOf(1));
-    for (auto &m : fleet.all) m.s->ended(Ended::refused, false, kSec, fleet.draw());
+    for (auto &m : fleet.all) m.s->ended(Ended::refused, Others::none, kSec, fleet.draw());
     CHECK(fleet.answered(kSec) <= most);
   }
 }
@@ -100,8 +100,8 @@
   auto d = fleetOf(300);
   for (d.me = 0; d.me < 300; ++d.me) {
     Subscription s(d);
-    s.line(kSec, 0.5);
-    s.ended(Ended::cut, false, 2 * kSec, 0.999);
+    s.line(true, kSec, 0.5);
+    s.ended(Ended::cut, Others::none, 2 * kSec, 0.999);
     CHECK(s.callAt() < 2 * kSec + d.askEvery / 2);
     CHECK(s.callAt() > 2 * kSec);
     CHECK(s.provenSince(60 * kSec) == 0); // that one is no silence
@@ -113,7 +113,7 @@
   CHECK(s.callAt() == 0);
   s.called(kSec);
   CHECK(s.callAt() == 4 * kSec);
-  s.line(2 * kSec, 0.5);
+  s.line(true, 2 * kSec, 0.5);
   CHECK(s.callAt() > 4 * kSec);
   s.answered();
   CHECK(s.callAt() == kNoCall);
@@ -121,24 +121,24 @@
 
 TEST_CASE("an end is passed over while another watch tells") {
   Subscription s(fleetOf(3));
-  s.line(kSec, 0.5);
+  s.line(true, kSec, 0.5);
   const Ns due = s.callAt();
-  s.ended(Ended::refused, true, 2 * kSec, 0.5);
+  s.ended(Ended::refused, Others::stands, 2 * kSec, 0.5);
   CHECK(s.callAt() == due);
-  s.ended(Ended::refused, true, 5 * kSec, 0.5); // that one has fallen silent itself
+  s.ended(Ended::refused, Others::stands, 5 * kSec, 0.5); // that one has fallen silent itself
   CHECK(s.callAt() > 5 * kSec);
 }
 
 TEST_CASE("what a silent list may lack is told only once it counts, and until a line comes") {
   Subscription s(fleetOf(3));
   CHECK(s.provenSince(100 * kSec) == 0); // what was known at the start is believed until asked
-  s.line(10 * kSec, 0.5);
+  s.line(true, 10 * kSec, 0.5);
   CHECK(s.provenSince(15 * kSec) == 0);
-  s.ended(Ended::refused, true, 15 * kSec, 0.5);
-  s.ended(Ended::unreachable, false, 15 * kSec, 0.5); // cut off from discovery: the silence goes on
+  s.ended(Ended::refused, Others::stands, 15 * kSec, 0.5);
+  s.ended(Ended::unreachable, Others::none, 15 * kSec, 0.5); // cut off from discovery: the silence goes on
   CHECK(s.provenSince(16 * kSec) > 10 * kSec);
   CHECK(s.provenSince(20 * kSec) > 14 * kSec);
-  s.line(20 * kSec, 0.5);
+  s.line(true, 20 * kSec, 0.5);
   CHECK(s.provenSince(20 * kSec) == 0);
 }
 
@@ -157,6 +157,43 @@
 
 TEST_CASE("an agent of the marshal's own is asked soon, whatever the fleet's size") {
   Subscription s(fleetOf(300, false));
-  for (int i = 0; i < 20; ++i) s.ended(Ended::unreachable, false, kSec, 0.99);
+  for (int i = 0; i < 20; ++i) s.ended(Ended::unreachable, Others::none, kSec, 0.99);
   CHECK(s.callAt() < kSec + 300 * kMs);
 }
+
+TEST_CASE("a former place's lines put off no call at the present one") {
+  Subscription s(fleetOf(1));
+  s.line(true, kSec, 0.5);
+  s.moved(2 * kSec, 0.5);
+  s.called(s.callAt());
+  s.ended(Ended::refused, Others::none, 3 * kSec, 0.5);
+  const Ns due = s.callAt();
+  CHECK(due < 4 * kSec);
+  s.line(false, 3 * kSec + kMs, 0.5);
+  CHECK(s.callAt() == due);
+}
+
+TEST_CASE(
+    "what the present place has to tell counts four seconds after the move, whatever the former one says") {
+  Subscription s(fleetOf(3));
+  s.line(true, kSec, 0.5);
+  s.moved(2 * kSec, 0.5);
+  s.line(false, 4 * kSec, 0.5);
+  CHECK(s.provenSince(5 * kSec) == 0);
+  s.ended(Ended::cut, Others::asked, 5 * kSec, 0.5); // the former place's own end
+  CHECK(s.provenSince(6 * kSec) > 2 * kSec);
+  s.line(true, 6 * kSec, 0.5);
+  CHECK(s.provenSince(6 * kSec) == 0);
+}
+
+TEST_CASE("the end of a watch while a call is out waits for that call, and no longer") {
+  Subscription s(fleetOf(3));
+  s.line(true, kSec, 0.5);
+  s.called(2 * kSec);
+  const Ns due = s.callAt();
+  s.ended(Ended::cut, Others::asked, 2100 * kMs, 0.5);
+  CHECK(s.callAt() == due);
+  s.ended(Ended::refused, Others::none, 2200 * kMs, 0.5);
+  CHECK(s.callAt() < 3200 * kMs);
+  CHECK(s.provenSince(20 * kSec) == 0); // it was cut, and did not fall silent
+}
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -94,7 +94,116 @@
   c.loop.run(body());
 }
 
+// One that ends while another is being asked for, which is refused then: the next call comes as after any
+// refusal, not when the first one's next line would have been overdue. Before, nothing was asked for over two
+// seconds.
+static void anEndDuringACallIsNotForgotten() {
+  Ns ended = 0, next = 0;
+  sched::Signal refuse;
+  Calls *all = nullptr;
+  auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    const auto line = co_await requestLine(s, b);
+    if (all->server.accepted > 2) {
+      if (next == 0) next = all->loop.sched.now();
+      co_await s.read(b, {});
+    } else if (all->server.accepted == 2 &&
+               ended == 0) { // the call after the move back: held until the watch is over
+      co_await all->loop.sched.wait(refuse);
+      const std::string no = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+      co_await s.write(no, {});
+    } else {
+      const auto out = kStream + chunk(listLine(42, "in_service"));
+      co_await s.write(out, {});
+      while (all->server.accepted < 2) co_await all->loop.sched.sleep(kMs);
+      const auto again = chunk("\n");
+      co_await s.write(again, {}); // lively up to its end
+      ended = all->loop.sched.now();
+    }
+  };
+  Calls c(script);
+  all = &c;
+  StandIn nowhere(c.loop, [](net::Socket &s, net::Buffer &b) -> sched::Task<> { co_await s.read(b, {}); });
+  auto body = [&]() -> sched::Task<> {
+    c.loop.sched.spawn(c.watch.run());
+    while (c.marshal.find("s-1") == nullptr) co_await c.loop.sched.sleep(kMs);
+    c.watch.moveTo(*net::parseAddress(nowhere.address())); // twice in a row, and back again
+    c.watch.moveTo(*net::parseAddress(c.server.address()));
+    while (ended == 0) co_await c.loop.sched.sleep(kMs);
+    co_await c.loop.sched.sleep(20 * kMs);
+    refuse.notify();
+    while (next == 0) co_await c.loop.sched.sleep(kMs);
+    assert(next - ended < kSec);
+  };
+  c.loop.run(body());
+}
+
+// The new place refuses the first call while the former one, which is to go, tells on: it is asked again all
+// the same.
+static void aRefusalAtTheNewPlaceIsNotTheLastCallThere() {
+  Calls *all = nullptr;
+  auto here = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await requestLine(s, b);
+    const auto out = kStream + chunk(listLine(42, "in_service")), life = chunk("\n");
+    co_await s.write(out, {});
+    auto cause = net::Cause::none;
+    while (cause == net::Cause::none) {
+      co_await all->loop.sched.sleep(100 * kMs);
+      cause = co_await s.write(life, {});
+    }
+  };
+  Calls c(here);
+  all = &c;
+  StandIn there(c.loop, [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await requestLine(s, b);
+    const std::string no = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    const auto out = kStream + chunk(listLine(43, "terminating"));
+    co_await s.write(there.accepted == 1 ? no : out, {});
+    if (there.accepted > 1) co_await s.read(b, {});
+  });
+  auto body = [&]() -> sched::Task<> {
+    c.loop.sched.spawn(c.watch.run());
+    while (c.marshal.find("s-1") == nullptr) co_await c.loop.sched.sleep(kMs);
+    const auto moved = c.loop.sched.now();
+    c.watch.moveTo(*net::parseAddress(there.address()));
+    while (c.marshal.find("s-1")->listed) co_await c.loop.sched.sleep(kMs);
+    assert(there.accepted == 2 && c.loop.sched.now() - moved < 4 * kSec);
+  };
+  c.loop.run(body());
+}
+
+// What is no list and no sign of life is asked for again, and nothing of it is taken for a list.
+static void whatTellsNothingIsAskedForAgain() {
+  const std::vector<std::string> odd{
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", kStream, kStream + "0\r\n\r\n",
+      kStream + chunk(listLine(41, "in_service").substr(0, 50)), "HTTP/1.1 200 OK\r\nTransfer-Enc"};
+  for (const auto &first : odd) {
+    Calls *all = nullptr;
+    auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+      co_await requestLine(s, b);
+      const auto out = kStream + chunk(listLine(43, "in_service"));
+      if (all->server.accepted == 1) {
+        co_await s.write(first, {});
+      } else {
+        co_await s.write(out, {});
+        co_await s.read(b, {});
+      }
+    };
+    Calls c(script);
+    all = &c;
+    auto body = [&]() -> sched::Task<> {
+      c.loop.sched.spawn(c.watch.run());
+      const auto begun = c.loop.sched.now();
+      while (c.marshal.find("s-1") == nullptr) co_await c.loop.sched.sleep(kMs);
+      assert(c.server.accepted == 2 && c.loop.sched.now() - begun < kSec);
+    };
+    c.loop.run(body());
+  }
+}
+
 int main() {
+  anEndDuringACallIsNotForgotten();
+  aRefusalAtTheNewPlaceIsNotTheLastCallThere();
+  whatTellsNothingIsAskedForAgain();
   theWatchIsFollowedAndAskedForAgain();
   theWatchMovesWithoutAGap();
   aSilentWatchIsOpenedAnewInTime();
