--- a/src/base/calls/line.cpp
+++ b/src/base/calls/line.cpp
@@ -74,12 +74,14 @@
   c->pending.push_back(pending);
   const auto written = co_await c->socket->write(request, until);
   if (written != Cause::none) {
-    c->ended = true; // half a call stands on it
+    c->ended = true; // half a call stands on it, and whoever reads there waits for nothing
+    c->socket->shutDown();
     closed_.notify();
     co_return Failure{written, Reach::partlyWritten};
   }
   while (!pending->ended)
-    if (co_await sched_.wait(pending->over, until) != sched::Woken::signalled) {
+    // An answer may have come in the very round in which its time was up.
+    if (co_await sched_.wait(pending->over, until) != sched::Woken::signalled && !pending->ended) {
       c->overdue = true;
       if (c->left) c->socket->shutDown();
       co_return Failure{Cause::timedOut, Reach::writtenWhole};
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -4,6 +4,7 @@
 #include "follow/peers/datagrams.h"
 #include "program/setup/station.h"
 
+#include <ctime>
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -80,6 +81,61 @@
   c.loop.run(body());
 }
 
+// The answer and the deadline fall into one round: it has come, and the connection is as good as before.
+static void anAnswerInTheRoundOfItsDeadlineCounts() {
+  Loop *loop = nullptr;
+  Ns deadline = 0;
+  auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    const auto answer = whole("in time");
+    co_await requestLine(s, b);
+    co_await loop->sched.sleep(deadline - loop->sched.now() - 5 * kMs);
+    co_await s.write(answer, {});
+    timespec t{};
+    do clock_gettime(CLOCK_MONOTONIC, &t); // holds the round back until both are due
+    while (t.tv_sec * kSec + t.tv_nsec < deadline + kMs);
+    co_await requestLine(s, b);
+    co_await s.write(answer, {});
+    co_await s.read(b, {});
+  };
+  Calls c(script);
+  loop = &c.loop;
+  calls::Line line(c.loop.sched, c.loop.budget, *net::parseAddress(c.server.address()));
+  auto body = [&]() -> sched::Task<> {
+    deadline = c.loop.sched.now() + 50 * kMs;
+    const net::Until until{deadline, nullptr}, later{deadline + kSec, nullptr};
+    const auto request = http::writeRequest("POST", "/", "platform");
+    auto first = co_await line.call(request, until);
+    assert(first && first->body == "in time");
+    auto second = co_await line.call(request, later);
+    assert(second && c.server.accepted == 1);
+  };
+  c.loop.run(body());
+}
+
+// A call that could not be written whole leaves no connection behind, whatever the other side does.
+static void halfACallEndsItsConnection() {
+  auto script = [](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    net::Buffer none;
+    co_await s.readable({}); // and reads nothing until the other end has gone
+    sched::Stop gone;
+    s.onHangUp(&gone);
+    (void)b;
+    co_await s.readable({sched::kNever, &gone});
+  };
+  Calls c(script);
+  calls::Line line(c.loop.sched, c.loop.budget, *net::parseAddress(c.server.address()));
+  auto body = [&]() -> sched::Task<> {
+    const int left = c.loop.budget.left();
+    const net::Until soon{c.loop.sched.now() + 50 * kMs, nullptr};
+    auto failed = co_await line.call(std::string(32 << 20, 'x'), soon);
+    assert(!failed && failed.failure().reach == net::Reach::partlyWritten);
+    line.giveUp();
+    co_await c.loop.sched.sleep(20 * kMs);
+    assert(c.loop.budget.left() >= left - 1); // the stand-in's end alone may still stand
+  };
+  c.loop.run(body());
+}
+
 // A vote that is out when the platform moves is answered where it was written; the next goes to the new
 // place.
 static void aCallOutlivesItsAddress() {
@@ -286,6 +342,8 @@
 int main() {
   aVoteIsAnsweredOrMayCount();
   aLateAnswerIsNotTheNextCalls();
+  anAnswerInTheRoundOfItsDeadlineCounts();
+  halfACallEndsItsConnection();
   aCallOutlivesItsAddress();
   theStandingConnectionIsKeptOpen();
   theBulletinIsReadAndOpenedAgain();
