No repeat of a deduped req leaves after its window, however long the connection takes

Cause: Guard::mayResend holds the window when a try is chosen (now + tick <= ran->sent + window); a new connection may take limits.connectTimeoutUs more, and a large statement its time to be written. With short windows that is past the rule. Change: a send carries the time by which its last byte must have left, from the guard to the pool, which looks again once the connection is up and bounds the write by it; what was not written whole never ran.

--- a/src/fleet/runner.cpp
+++ b/src/fleet/runner.cpp
@@ -30,7 +30,7 @@
   auto last = Outcome::notSent;
   while (choice.what == Choice::send) {
     const net::Until until{choice.until, &stop};
-    auto tried = co_await pool_.attempt(*choice.target, statement, until,
+    auto tried = co_await pool_.attempt(*choice.target, statement, until, choice.sendBy,
                                         [&] { return marshal_.stillMeant(call); });
     last = tried.outcome;
     mayHaveRun = mayHaveRun || !neverRan(last);
--- a/src/guard/after.cpp
+++ b/src/guard/after.cpp
@@ -26,8 +26,7 @@
   s.borne += ok && warmth(*t.node, now) >= 1;
   if (settled) rq.ended = true;
   if (rq.ended || rq.out > 0) return {};
-  if (!mayResend(rq, now)) return giveUp(rq, now);
-  auto *n = choose(rq, now);
+  auto *n = mayResend(rq, now) ? choose(rq, now) : nullptr;
   if (n == nullptr) return giveUp(rq, now);
   s.resendCredit -= 1;
   return dispatch(rq, *n, now);
@@ -55,25 +54,28 @@
   if (n.inflight++ == 0) n.quietSince = now;
   ++s.inflight;
   n.saved = std::max(n.saved - 1, 0.0);
-  return {Step::send, &n, t.timeout};
+  return {Step::send, &n, t.timeout, 0, sendBy(rq)};
 }
 
 bool Guard::mayResend(const Req &rq, Ns now) const {
-  const auto &route = routeOf(rq);
   if (static_cast<int>(rq.tries.size()) >= s.d.mostTries || s.resendCredit < 1) return false;
   if (rq.streaming || rq.deadline - now <= 4 * s.d.tick) return false;
-  const auto ran = std::ranges::find_if(rq.tries, &Try::mayHaveRun);
-  if (ran == rq.tries.end()) return true;
-  if (s.shed > 0) return false; // no work is done twice while some is turned away
-  if (route.repeat == Repeat::retriable) return true;
-  return route.repeat == Repeat::deduped && now + s.d.tick <= ran->sent + route.dedupeWindow;
+  // While some is turned away, no work is done twice.
+  return now + s.d.tick <= sendBy(rq) && (s.shed <= 0 || std::ranges::none_of(rq.tries, &Try::mayHaveRun));
+}
+
+// What may have run is repeated freely, or within the window that the first such try has opened, or never.
+Ns Guard::sendBy(const Req &rq) const {
+  const auto &route = routeOf(rq);
+  const auto ran = std::ranges::find_if(rq.tries, [](const Try &t) { return !t.out && t.mayHaveRun; });
+  if (ran == rq.tries.end() || route.repeat == Repeat::retriable) return kAnyTime;
+  return route.repeat == Repeat::deduped ? ran->sent + route.dedupeWindow : 0;
 }
 
 // A shed reply says that trying again is harmless.
 bool Guard::mayShed(const Req &rq) const {
-  const auto &route = routeOf(rq);
-  if (route.repeat == Repeat::retriable) return true;
-  if (route.repeat == Repeat::deduped && route.group == Group::all) return true;
+  const auto &r = routeOf(rq);
+  if (r.repeat == Repeat::retriable || (r.repeat == Repeat::deduped && r.group == Group::all)) return true;
   return std::ranges::none_of(rq.tries, &Try::mayHaveRun);
 }
 
--- a/src/guard/facts.cpp
+++ b/src/guard/facts.cpp
@@ -27,8 +27,7 @@
       c.before = c.earlierSeen < kEarlierEnough ? 1 : c.earlierFailed / c.earlierSeen; // 1: not known
       c.heard.assign(static_cast<std::size_t>(s.d.marshals), {}), c.parts.clear();
     }
-    s.stageOutcomes = s.trialSeen = 0;
-    s.against = false;
+    s.stageOutcomes = s.trialSeen = 0, s.against = false;
   } else if (news.stage != s.news.stage) {
     s.stageOutcomes = 0;
   }
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -58,6 +58,7 @@
   Node *choose(const Req &rq, Ns now);
   bool mayShed(const Req &rq) const;
   bool mayResend(const Req &rq, Ns now) const;
+  Ns sendBy(const Req &rq) const;
   double shedShare(const Req &rq) const;
   Step giveUp(Req &rq, Ns now);
   Step dispatch(Req &rq, Node &n, Ns now);
--- a/src/guard/terms.h
+++ b/src/guard/terms.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,7 @@
 
 using Ns = std::int64_t;
 constexpr Ns kMs = 1'000'000, kSec = 1'000'000'000;
+constexpr Ns kAnyTime = std::numeric_limits<Ns>::max();
 
 enum class Repeat { retriable, deduped, nonRetriable };
 enum class Group { all, zone, cell };
@@ -91,6 +93,7 @@
   Node *node = nullptr;
   Ns timeout = 0;    // send: give the try up after this
   Ns retryAfter = 0; // shed: time for the client to come back, 0 for none
+  Ns sendBy = 0;     // send: its last byte may not leave later
 };
 
 struct Vote {
--- a/src/marshal/marshal.cpp
+++ b/src/marshal/marshal.cpp
@@ -34,9 +34,9 @@
     call.changes_ = call.target_->changes;
     call.news_ = newsChanges_;
     call.build_ = step.node->listing.build;
-    return {Choice::send, call.target_, now() + step.timeout, 0};
+    return {Choice::send, call.target_, now() + step.timeout, step.sendBy, 0};
   case Step::shed:
-    return {Choice::shed, nullptr, 0, step.retryAfter};
+    return {Choice::shed, nullptr, 0, 0, step.retryAfter};
   case Step::fail:
     return {Choice::fail};
   case Step::hold:
--- a/src/marshal/marshal.h
+++ b/src/marshal/marshal.h
@@ -29,6 +29,7 @@
   enum What { send, shed, fail, nothing } what = nothing;
   Target *target = nullptr;
   Ns until = 0;      // send: give the try up then
+  Ns sendBy = 0;     // send: its last byte may not leave later
   Ns retryAfter = 0; // shed: time for the client to come back, 0 for none
 };
 
--- a/src/nodes/pool.cpp
+++ b/src/nodes/pool.cpp
@@ -63,7 +63,7 @@
 }
 
 net::Task<Tried> Pool::attempt(const Target &target, const pg::Statement &statement, net::Until until,
-                               std::function<bool()> meant) {
+                               Ns sendBy, std::function<bool()> meant) {
   Tried out;
   Held c = take(target);
   if (c == nullptr) {
@@ -76,8 +76,9 @@
     }
     c = std::move(*opened);
   }
-  // Guards against writing to a node that was listed otherwise while the connection came up.
-  if (!meant()) {
+  // Guards against writing to a node that was listed otherwise, or too late for a repeat, once the connection
+  // is up.
+  if (!meant() || sched_.now() > sendBy) {
     keep(target, std::move(c));
     out.outcome = Outcome::notSent;
     co_return out;
@@ -85,7 +86,7 @@
   std::string query;
   pg::addQuery(query,
                pg::withPatience(statement, std::max<Ns>((until.at - sched_.now() + kMs - 1) / kMs, 1)));
-  const auto failure = co_await exchange(*c, std::move(query), until, out);
+  const auto failure = co_await exchange(*c, std::move(query), until, sendBy, out);
   if (failure.cause != Cause::none)
     out.outcome = outcomeOf(failure);
   else
@@ -131,8 +132,9 @@
 
 // The statement is written and its answer read, up to ReadyForQuery if that has come along. What is passed on
 // has the form of the one answer due; anything else may have run and is not believed.
-net::Task<Failure> Pool::exchange(Connection &c, std::string query, net::Until until, Tried &out) {
-  const auto written = co_await c.socket->write(query, until);
+net::Task<Failure> Pool::exchange(Connection &c, std::string query, net::Until until, Ns sendBy, Tried &out) {
+  const net::Until whole{std::min(until.at, sendBy), until.stop};
+  const auto written = co_await c.socket->write(query, whole);
   if (written != Cause::none) co_return Failure{written, Reach::partlyWritten};
   bool over = false, any = false;
   while (!over) {
--- a/src/nodes/pool.h
+++ b/src/nodes/pool.h
@@ -1,6 +1,8 @@
 // Connections to nodes, and upstream tries on them. A connection carries one try at a time and is used again
-// only after a whole answer with nothing left over, and once an empty query behind it has been answered: so
-// what a node sends too much shows before the next try, and can't become its answer.
+// only after a whole answer with nothing left over, and once an empty query behind it has been answered. What
+// a node sends too much may come later still: the answer on a connection that has carried one before counts
+// only once the empty query behind it has been answered with nothing else between, so an earlier one's copy
+// is never passed on.
 #pragma once
 
 #include "base/net/places.h"
@@ -34,8 +36,9 @@
       : sched_(sched), budget_(budget), log_(log), connectWithin_(connectWithin), idleAtMost_(idleAtMost),
         loadNames_(std::move(loadNames)), large_(std::max(places, pg::kMostRow + kHead)) {}
 
-  // `meant`: asked right before the statement is written to a new connection; false: it is not sent.
-  net::Task<Tried> attempt(const Target &target, const pg::Statement &statement, net::Until until,
+  // `meant`: asked right before the statement is written to a new connection; false: it is not sent. Nor is
+  // it where its last byte would leave after `sendBy`.
+  net::Task<Tried> attempt(const Target &target, const pg::Statement &statement, net::Until until, Ns sendBy,
                            std::function<bool()> meant);
   net::Task<> sweep();    // closes what has stood idle or ended, for as long as the marshal lives
   bool closeOldestIdle(); // to free a descriptor
@@ -56,7 +59,7 @@
 
   net::Task<net::Result<Held>> open(const Target &target, net::Until until);
   net::Task<net::Failure> welcome(Connection &c, net::Until until);
-  net::Task<net::Failure> exchange(Connection &c, std::string query, net::Until until, Tried &out);
+  net::Task<net::Failure> exchange(Connection &c, std::string query, net::Until until, Ns sendBy, Tried &out);
   Held take(const Target &target);
   void keep(const Target &target, Held c);
   enum Standing { usable, unsettled, useless };
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -44,10 +44,22 @@
   Req rq = bed.triedAt(there, 1, true);
   const Step step = bed.guard.after(rq, 0, Outcome::errored, kMs, false, kNow + 10 * kMs);
   assert(step.what == Step::send && step.node == &there && here.inflight == 0);
+  assert(step.sendBy == kNow + kSec); // from the first that may have run, however long the connection takes
   Req late = bed.triedAt(there, 1, true);
   assert(bed.guard.after(late, 0, Outcome::errored, kMs, false, kNow + kSec).what == Step::fail);
 }
 
+static void onlyWhatMayHaveRunIsBoundToATime() {
+  Bed bed;
+  Req fresh = Bed::req(1), freely = bed.triedAt(bed.node(0), 0, true),
+      never = bed.triedAt(bed.node(0), 2, true);
+  assert(bed.guard.where(fresh, kNow).sendBy == kAnyTime);
+  assert(bed.guard.after(freely, 0, Outcome::reset, kMs, false, kNow + 5 * kSec / 2 - kSec).sendBy ==
+         kAnyTime);
+  const Step again = bed.guard.after(never, 0, Outcome::turnedAway, kMs, false, kNow + 10 * kMs);
+  assert(again.what == Step::send && again.sendBy == kAnyTime);
+}
+
 static void nothingGoesToDrainingOrGone() {
   Bed bed(smallDeployment(), 0);
   Node &a = bed.list({.build = 1}), &b = bed.list({.build = 1});
@@ -173,9 +185,9 @@
 int main() {
   for (auto *test :
        {answersBeforeTheClientsTimeIsUp, endsOnce, resendsByRouteKind, dedupedStaysInItsGroupAndWindow,
-        nothingGoesToDrainingOrGone, coldNodeKeepsItsBudget, manyQuietMarshalsKeepOneBudget,
-        aStormOfTriesDoesNotRaiseTheColdBudget, exposureStaysWithinTheCap, aTrialNodeGetsAWarmNodesPace,
-        shutBuildsGetNothing, theWayBackUsesTheCapWhileNothingElseIsUp, unnamedBuildCountsAsFirstStage,
-        guardedStagesAreForRetriableReqs, noReturnKeepsAKeyOnItsBuild})
+        onlyWhatMayHaveRunIsBoundToATime, nothingGoesToDrainingOrGone, coldNodeKeepsItsBudget,
+        manyQuietMarshalsKeepOneBudget, aStormOfTriesDoesNotRaiseTheColdBudget, exposureStaysWithinTheCap,
+        aTrialNodeGetsAWarmNodesPace, shutBuildsGetNothing, theWayBackUsesTheCapWhileNothingElseIsUp,
+        unnamedBuildCountsAsFirstStage, guardedStagesAreForRetriableReqs, noReturnKeepsAKeyOnItsBuild})
     test();
 }
