A copy of an earlier answer that comes late is never taken for the next req's

Cause: the empty query behind an answer shows what comes before its own answer. A second answer that comes milliseconds later, on a connection that is in use again by then, was read as the answer in hand: another req's value passed on, or another's 53300 taken as proof that this one never ran. ('two.outcome == Outcome::reset' failed: completed.) Ruled out: standing(), which reads all that has come before the next statement is written. Change: on a connection that has carried an answer before, an answer counts once the empty query behind it has been answered with nothing between; else it may have run, and is not believed. One way to the node and back more for those.

--- a/src/nodes/pool.cpp
+++ b/src/nodes/pool.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 namespace myrtlehead::nodes {
 
@@ -168,7 +169,20 @@
   // The load report stands between the answer and ReadyForQuery. What has not come along is read later.
   fence(c);
   settle(c, &out);
-  co_return Failure{};
+  if (!std::exchange(c.used, true)) co_return Failure{}; // no earlier answer's copy can have come
+  const auto failure = co_await proven(c, until, out);
+  co_return failure;
+}
+
+// Guards against a second copy of an earlier answer that comes while this one is waited for: then the one due
+// comes before the empty query's answer, and which of the two is whose can't be told. It may have run.
+net::Task<Failure> Pool::proven(Connection &c, net::Until until, Tried &out) {
+  while (!c.spoilt && c.due > 0) {
+    const auto cause = co_await c.socket->read(c.buffer, until);
+    if (cause != Cause::none) co_return Failure{cause, Reach::answering};
+    settle(c, &out);
+  }
+  co_return c.spoilt ? Failure{Cause::unreadable, Reach::answering} : Failure{};
 }
 
 void Pool::readParameter(std::string_view body, Tried &out) {
--- a/src/nodes/pool.h
+++ b/src/nodes/pool.h
@@ -54,12 +54,14 @@
     int due = 0;           // ReadyForQuery messages that are still to come
     bool emptyDue = false; // and the empty query's answer before the last of them
     bool spoilt = false;   // something stands there that may not
+    bool used = false;     // an earlier answer has come on it
   };
   using Held = std::unique_ptr<Connection>;
 
   net::Task<net::Result<Held>> open(const Target &target, net::Until until);
   net::Task<net::Failure> welcome(Connection &c, net::Until until);
   net::Task<net::Failure> exchange(Connection &c, std::string query, net::Until until, Ns sendBy, Tried &out);
+  net::Task<net::Failure> proven(Connection &c, net::Until until, Tried &out);
   Held take(const Target &target);
   void keep(const Target &target, Held c);
   enum Standing { usable, unsettled, useless };
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -92,9 +92,7 @@
     return {std::make_unique<net::Socket>(sched, budget, fds[0]),
             std::make_unique<net::Socket>(sched, budget, fds[1])};
   }
-  static std::string text(const net::Address &a) {
-    return "127.0.0.1:" + std::to_string(a.port());
-  }
+  static std::string text(const net::Address &a) { return "127.0.0.1:" + std::to_string(a.port()); }
 
   sched::Scheduler sched;
   net::Descriptors budget{1000};
--- a/tests/tries_test.cpp
+++ b/tests/tries_test.cpp
@@ -17,10 +17,12 @@
     target.address = node.address();
     target.listed = true;
   }
-  sched::Task<nodes::Tried> ask(Ns within = kSec, sched::Stop *stop = nullptr, bool meant = true) {
+  sched::Task<nodes::Tried> ask(Ns within = kSec, sched::Stop *stop = nullptr, bool meant = true,
+                                Ns sendWithin = kSec) {
     const auto statement = pg::parseStatement(kSql);
     const net::Until until{loop.sched.now() + within, stop};
-    co_return co_await pool.attempt(target, statement, until, [meant] { return meant; });
+    co_return co_await pool.attempt(target, statement, until, loop.sched.now() + sendWithin,
+                                    [meant] { return meant; });
   }
   // The outcome of a single try.
   Outcome outcome(Ns within = kSec) {
@@ -283,6 +285,60 @@
   assert(nodes::outcomeOf({Cause::stopped, Reach::answering}) == Outcome::cancelled);
 }
 
+// An earlier answer's copy that comes milliseconds late, behind the empty query's answer and while the next
+// req is in hand, is not that one's answer, whatever it says.
+static void aLateCopyIsNotTheNextAnswer() {
+  std::string refused;
+  pg::addError(refused, {"ERROR", "53300", "no"});
+  pg::addReady(refused);
+  for (const auto &first : {StandIn::row("first"), refused}) {
+    auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+      if (!co_await StandIn::admit(s, b)) co_return;
+      const auto one = co_await StandIn::query(s, b);
+      if (one.empty()) co_return;
+      co_await s.write(first, {});
+      const auto two = co_await StandIn::query(s, b); // the empty one between is answered
+      if (two.empty()) co_return;
+      const auto own = StandIn::row("second");
+      co_await s.write(first, {});
+      co_await s.read(b,
+                      {}); // the marshal's next word; the empty query is answered in its turn, behind the row
+      co_await s.write(own, {});
+      co_await StandIn::query(s, b);
+    };
+    Ground g(script);
+    auto body = [&]() -> sched::Task<> {
+      const auto one = co_await g.ask();
+      assert(one.outcome == (first == refused ? Outcome::turnedAway : Outcome::completed));
+      co_await g.loop.sched.sleep(5 * kMs);
+      const auto two = co_await g.ask(200 * kMs);
+      assert(g.node.accepted == 1 && two.outcome == Outcome::reset); // it may have run, and is not believed
+    };
+    g.loop.run(body());
+  }
+}
+
+// Chosen within a window for repeats, which is over before the connection is up.
+static void noRepeatLeavesAfterItsTime() {
+  std::vector<std::string> seen;
+  Loop *loop = nullptr;
+  auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await loop->sched.sleep(60 * kMs); // comes up late
+    if (!co_await StandIn::admit(s, b)) co_return;
+    const auto sql = co_await StandIn::query(s, b);
+    if (!sql.empty()) seen.push_back(sql);
+  };
+  Ground g(script);
+  loop = &g.loop;
+  auto body = [&]() -> sched::Task<> {
+    const auto tried = co_await g.ask(kSec, nullptr, true, 30 * kMs);
+    assert(tried.outcome == Outcome::notSent);
+    co_await g.loop.sched.sleep(50 * kMs);
+    assert(seen.empty());
+  };
+  g.loop.run(body());
+}
+
 static void theOldestIdleConnectionGoesFirst() {
   Ground g(answers(StandIn::row("value")));
   auto body = [&]() -> sched::Task<> {
@@ -308,4 +364,6 @@
   aTryThatIsCalledOffClosesItsConnection();
   whatAFailureProves();
   theOldestIdleConnectionGoesFirst();
+  aLateCopyIsNotTheNextAnswer();
+  noRepeatLeavesAfterItsTime();
 }
