--- a/src/format/pg/statement.cpp
+++ b/src/format/pg/statement.cpp
@@ -253,6 +253,19 @@
   return s;
 }
 
+Statement movedTo(const Statement &s, std::string_view copy) {
+  const auto moved = [&](std::string_view part) {
+    if (part.data() == nullptr) return part;
+    return copy.substr(static_cast<std::size_t>(part.data() - s.text.data()), part.size());
+  };
+  Statement out = s;
+  out.text = copy;
+  out.id = moved(s.id);
+  out.route = moved(s.route);
+  out.record = moved(s.record);
+  return out;
+}
+
 std::string withPatience(const Statement &s, std::int64_t ms) {
   std::string out(s.text.substr(0, s.patienceAt));
   out += std::to_string(ms);
--- a/src/format/pg/statement.h
+++ b/src/format/pg/statement.h
@@ -27,6 +27,9 @@
 
 Statement parseStatement(std::string_view sql);
 
+// The same statement, standing in `copy`, which has the characters of its text.
+Statement movedTo(const Statement &s, std::string_view copy);
+
 // The statement with another patience; nothing else of it changes.
 std::string withPatience(const Statement &s, std::int64_t ms);
 
--- a/src/front/clients/door.cpp
+++ b/src/front/clients/door.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr int kKept = 4;               // one descriptor in so many stays with nodes and control connections
-constexpr int kForReqs = 3;            // one part in so many of the descriptors is for clients' reqs
-constexpr int kLast = 12;              // and one in so many is not even spent on refusing clients
+constexpr int kKept = 4;    // one descriptor in so many stays with nodes and control connections
+constexpr int kForReqs = 3; // one part in so many of the descriptors is for clients' reqs, and for attempts
+constexpr int kLast = 12;   // and one in so many is not even spent on refusing clients
 constexpr Ns kRetryAccept = kSec / 10; // where the machine has no descriptor left
 constexpr Ns kPartedLeast = kSec / 10; // for a client to see that it is parted with
 constexpr Ns kNeeded =
@@ -29,7 +29,7 @@
            std::size_t places)
     : sched_(sched), budget_(budget), marshal_(marshal), pool_(pool), log_(log), routes_(std::move(routes)),
       routeTimeouts_(std::move(routeTimeouts)), places_(std::max(places, 4 * pg::kMostBytes)),
-      listener_(net::listenAt(sched, budget, listen)) {}
+      listener_(net::listenAt(sched, budget, listen)), admission_(budget.most() / kForReqs) {}
 
 // Guards the descriptors that nodes and control connections need. Where nobody can be spared the new one is
 // refused at once: in the backlog its req would wait for nobody.
--- a/src/front/clients/door.h
+++ b/src/front/clients/door.h
@@ -4,6 +4,7 @@
 #include "base/net/places.h"
 #include "base/net/socket.h"
 #include "decide/closing/closing.h"
+#include "decide/pipeline/pipeline.h"
 #include "marshal/marshal.h"
 #include "nodes/pool.h"
 
@@ -48,8 +49,9 @@
   std::list<class Session *> all_;
   // Those that may be closed, the longest first: parted with, not yet started, waiting for a req.
   std::list<class Session *> parted_, early_, idle_;
-  std::set<std::string, std::less<>> openIds_; // of the reqs in hand
-  unsigned faults_ = 0;                        // of clients, since one was last logged
+  std::set<std::string, std::less<>> openIds_; // of the requests in hand
+  pipeline::Admission admission_;
+  unsigned faults_ = 0; // of clients, since one was last logged
   Ns faultSaid_ = 0;
   sched::Signal ended_;
 };
--- /dev/null
+++ b/src/front/clients/replies.cpp
@@ -0,0 +1,34 @@
+#include "front/clients/replies.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace myrtlehead::clients {
+
+bool holdsId(const std::deque<Reply> &replies, std::string_view id) {
+  return std::any_of(replies.begin(), replies.end(), [id](const Reply &reply) { return reply.id.is(id); });
+}
+
+Batch ReplyQueue::take() {
+  Batch out;
+  out.text = std::exchange(text_, {});
+  while (!replies_.empty() && replies_.front().complete) {
+    auto &reply = replies_.front();
+    if (out.text.empty())
+      out.text = std::move(reply.text);
+    else
+      out.text += reply.text;
+    out.text += reply.after;
+    out.replies.push_back(std::move(reply));
+    replies_.pop_front();
+  }
+  return out;
+}
+
+std::size_t ReplyQueue::bytes() const {
+  std::size_t out = text_.size();
+  for (const auto &reply : replies_) out += reply.text.size() + reply.after.size();
+  return out;
+}
+
+} // namespace myrtlehead::clients
--- a/src/front/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -1,7 +1,5 @@
 #include "front/clients/session.h"
 
-#include "guard/log.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -14,20 +12,12 @@
 constexpr Ns kStartWithin = 2 * kSec;     // for the whole startup message to come
 constexpr Ns kReadWithin = 2 * kSec;      // for the rest of a message that has begun
 constexpr Ns kFirstWithin = 5 * kSec / 2; // from its opening, for the first one of a connection
-constexpr Ns kWriteWithin = 5 * kSec;     // for a client to read an answer
 constexpr Ns kPartWithin = kSec;          // for a client to see that it is parted with
 constexpr std::size_t kSmall = 16 * 1024; // a message that needs no place of its own, a buffer that is kept
 constexpr unsigned kTurn = 32;            // messages, then other sessions have theirs
 constexpr Ns kMostRest = kSec / 10;
 constexpr int kPartedReads = 16, kEncryptions = 2;
 
-// An id is open while its req is in hand.
-struct OpenId {
-  std::set<std::string, std::less<>> &all;
-  const std::set<std::string, std::less<>>::iterator at;
-  ~OpenId() { all.erase(at); }
-};
-
 } // namespace
 
 Session::Session(Door &door, std::unique_ptr<net::Socket> socket, std::uint32_t number)
@@ -37,6 +27,7 @@
 }
 
 Session::~Session() {
+  for (auto &request : requests_) door_.admission_.leave(request.ticket);
   stand(busy);
   door_.all_.erase(inAll_);
   door_.ended_.notify();
@@ -54,26 +45,18 @@
   if (is != busy) inList_ = list(is).insert(list(is).end(), this);
 }
 
-net::Task<bool> Session::flush() {
-  if (out_.empty()) co_return true;
-  const net::Until until{door_.sched_.now() + kWriteWithin, &gone_};
-  const auto cause = co_await socket_->write(out_, until);
-  out_.clear();
-  if (out_.capacity() > kSmall) std::string().swap(out_);
-  co_return cause == Cause::none;
-}
-
 void Session::complain(std::string_view code, std::string_view message, bool ready) {
   ++faults_;
   door_.fault(message);
-  pg::addError(out_, {"ERROR", code, message});
-  if (ready) pg::addReady(out_);
+  auto &out = replies_.tail();
+  pg::addError(out, {"ERROR", code, message});
+  if (ready) pg::addReady(out);
 }
 
 net::Task<> Session::breakOff(std::string_view message) {
   door_.fault(message);
-  pg::addError(out_, {"FATAL", "08P01", message});
-  const bool written = co_await flush();
+  pg::addError(replies_.tail(), {"FATAL", "08P01", message});
+  const bool written = co_await drain();
   if (written) co_await partWith();
 }
 
@@ -84,7 +67,9 @@
 }
 
 void Session::end() {
-  if (!parting_) stopIdling(); // else it ends soon by itself
+  if (parting_) return; // it ends soon by itself
+  wanted_ = true;
+  if (requests_.empty() && !writing_) stopIdling();
 }
 
 // Guards what was said last: closed with bytes unread, a connection is reset, and the client may not see it.
@@ -121,7 +106,7 @@
   stand(busy);
   if (!started) co_return;
   if (!stays) {
-    pg::addError(out_, {"FATAL", "53300", "too many connections; trying again is harmless"});
+    pg::addError(replies_.tail(), {"FATAL", "53300", "too many connections; trying again is harmless"});
     const bool written = co_await flush();
     if (written) co_await partWith();
     co_return;
@@ -135,11 +120,23 @@
     buffer_.consume(size);
     buffer_.shrink(kSmall);
     place_.leave();
-    bool written = true;
-    if (out_.size() > kSmall) written = co_await flush();
-    if (!written) break;
+    forgetFinished();
+    const bool turn = co_await turnToTakeUp();
+    if (!turn) break;
   }
-  co_await flush();
+  co_await drain();
+}
+
+// Returns once a further message may be taken up; false: the client has gone.
+net::Task<bool> Session::turnToTakeUp() {
+  while (replies_.bytes() > kSmall || !door_.admission_.mayTakeUp(held())) {
+    const bool reads = co_await flush();
+    if (!reads) co_return false;
+    if (door_.admission_.mayTakeUp(held())) break;
+    const net::Until until{sched::kNever, &gone_};
+    co_await door_.sched_.wait(changed_, until);
+  }
+  co_return true;
 }
 
 // Guards the other clients against one that sends what can't be used over and over: the more of it, the
@@ -160,6 +157,7 @@
       const bool nothing = enough_.requested() && cause == Cause::timedOut;
       if (nothing) co_await endBetween();
       if (cause != Cause::none) co_return false;
+      lastReadAt_ = door_.sched_.now();
       continue;
     }
     if (parsed == pg::Parsed::bad || startup.kind == pg::Opening::unknown || encryptions > kEncryptions) {
@@ -170,14 +168,15 @@
     buffer_.consume(startup.size);
     if (startup.kind == pg::Opening::encryption) {
       ++encryptions;
-      out_ += 'N';
+      replies_.tail() += 'N';
       const bool written = co_await flush();
       if (!written) co_return false;
       continue;
     }
-    if (startup.minor > 0) pg::addOldestMinor(out_);
-    pg::addWelcome(out_, number_, number_ * 2654435761u);
-    pg::addReady(out_);
+    auto &out = replies_.tail();
+    if (startup.minor > 0) pg::addOldestMinor(out);
+    pg::addWelcome(out, number_, number_ * 2654435761u);
+    pg::addReady(out);
     co_return true;
   }
 }
@@ -194,21 +193,28 @@
     const bool written = co_await flush();
     if (!written) co_return false;
     if (faults_ >= kTurn) co_await rest();
+    // Wanted back with requests in hand again: they are answered first.
+    const bool reads = !enough_.requested() || co_await drain();
+    if (!reads) co_return false;
     const bool between = buffer_.empty();
     if (!between && begun == 0) begun = asked_ ? door_.sched_.now() + kReadWithin : opened_ + kFirstWithin;
     if (!between && door_.closing_.is()) begun = std::min(begun, door_.closing_.restBy());
     // Whoever has never asked anything whole may be closed for those that have, as before its startup
     // message.
-    stand(between ? idle : asked_ ? busy : early);
+    const bool resting = requests_.empty() && !writing_;
+    stand(between && resting ? idle : asked_ ? busy : early);
     if (!between && !co_await takePlace(begun)) co_return false;
     const net::Until until{between ? sched::kNever : begun, &enough_};
+    between_ = between;
     auto cause = enough_.requested() ? Cause::stopped : co_await socket_->read(buffer_, until);
+    between_ = false;
     stand(busy);
     if (cause == Cause::stopped) cause = co_await lastRead(begun);
     const bool ends = cause == Cause::timedOut && enough_.requested();
     if (ends) co_await endBetween();
     if (!ends && cause == Cause::timedOut) co_await breakOff("a message that does not end");
     if (cause != Cause::none) co_return false;
+    lastReadAt_ = door_.sched_.now();
   }
 }
 
@@ -244,13 +250,19 @@
   switch (message.type) {
   case 'Q': {
     std::string_view body = message.body, sql;
-    if (pg::takeText(body, sql) && body.empty()) co_return co_await query(sql);
-    co_await breakOff("a query without its closing zero");
-    co_return false;
+    const bool whole = pg::takeText(body, sql) && body.empty();
+    if (!whole) {
+      co_await breakOff("a query without its closing zero");
+      co_return false;
+    }
+    const auto statement = pg::parseStatement(sql);
+    const bool stays = co_await ownIdFree(statement);
+    if (stays) query(statement);
+    co_return stays;
   }
   case 'S': {
     skipping_ = false;
-    pg::addReady(out_);
+    pg::addReady(replies_.tail());
     co_return true;
   }
   case 'd':
@@ -264,90 +276,50 @@
   co_return false;
 }
 
-net::Task<bool> Session::query(std::string_view sql) {
-  const auto statement = pg::parseStatement(sql);
+bool Session::isOwnOpenId(std::string_view id) const {
+  if (!door_.openIds_.contains(id)) return false;
+  return replies_.holds(id) || (beingWritten_ != nullptr && holdsId(beingWritten_->replies, id));
+}
+
+// A request with the id of an earlier one on the same connection waits for that one's answer, as it would
+// without pipelining. False: the client has gone.
+net::Task<bool> Session::ownIdFree(const pg::Statement &statement) {
+  const net::Until until{sched::kNever, &gone_};
+  while (statement.kind == pg::Statement::req && isOwnOpenId(statement.id)) {
+    if (gone_.requested()) co_return false;
+    co_await door_.sched_.wait(changed_, until);
+  }
+  co_return true;
+}
+
+void Session::query(const pg::Statement &statement) {
+  auto &out = replies_.tail();
   switch (statement.kind) {
   case pg::Statement::req: {
     const auto &routes = door_.routes_;
     const auto at = std::find(routes.begin(), routes.end(), statement.route);
-    if (at != routes.end()) co_return co_await serve(statement, static_cast<int>(at - routes.begin()));
-    complain(statement.code, "the comment names an unknown route");
-    co_return true;
+    if (at == routes.end()) return complain(statement.code, "the comment names an unknown route");
+    return begin(statement, static_cast<int>(at - routes.begin()));
   }
   case pg::Statement::malformed:
-    complain(statement.code, statement.complaint);
-    co_return true;
+    return complain(statement.code, statement.complaint);
   case pg::Statement::empty:
-    pg::addEmptyAnswer(out_);
+    pg::addEmptyAnswer(out);
     break;
   case pg::Statement::ping:
-    pg::addRow(out_, "?column?", "1");
-    pg::addComplete(out_, "SELECT 1");
+    pg::addRow(out, "?column?", "1");
+    pg::addComplete(out, "SELECT 1");
     break;
   case pg::Statement::session: {
     std::string tag(statement.verb);
     std::transform(tag.begin(), tag.end(), tag.begin(),
                    [](char c) { return static_cast<char>(c - 'a' + 'A'); });
-    pg::addComplete(out_, tag == "DISCARD" ? "DISCARD ALL" : tag);
+    pg::addComplete(out, tag == "DISCARD" ? "DISCARD ALL" : tag);
     break;
   }
   }
-  pg::addReady(out_);
+  pg::addReady(out);
   asked_ = true;
-  co_return true;
-}
-
-net::Task<bool> Session::serve(const pg::Statement &statement, int route) {
-  // Guards the client that uses the id rightly: two answers to one id could be told apart by nobody.
-  const auto [at, first] = door_.openIds_.emplace(statement.id);
-  if (!first) {
-    complain("42710", "another req with this id is open");
-    co_return true;
-  }
-  const OpenId open{door_.openIds_, at};
-  asked_ = true;
-  if (!door_.closing_.mayBegin(door_.sched_.now())) {
-    pg::addError(out_, {"ERROR", "53300", "this marshal ends; trying again is harmless"});
-    pg::addReady(out_);
-    co_return true;
-  }
-  const bool written = co_await flush();
-  if (!written) co_return false;
-  auto &marshal = door_.marshal_;
-  const Ns patience = std::min(statement.patienceMs * kMs,
-                               door_.routeTimeouts_[static_cast<std::size_t>(route)]);
-  const Ns taken = door_.sched_.now();
-  Call call(route, statement.key, patience, statement.repeat, taken);
-  net::Place large; // the answer's, until it is written
-  auto choice = co_await marshal.pick(call, gone_);
-  while (choice.what == Choice::send) {
-    const net::Until until{choice.until, &gone_};
-    auto *target = choice.target;
-    auto tried = co_await door_.pool_.attempt(*target, statement, until, choice.sendBy,
-                                              [&] { return marshal.stillMeant(call); });
-    door_.log_.debug(
-        "try",
-        {{"node", target->name}, {"outcome", word(tried.outcome)}, {"load_fields", tried.loads.size()}});
-    if (!tried.loads.empty()) marshal.load(call, tried.loads);
-    if (gone_.requested()) marshal.left(call);
-    choice = marshal.report(call, tried.outcome);
-    if (tried.outcome == Outcome::completed) out_ = std::move(tried.answer), large = std::move(tried.place);
-  }
-  if (gone_.requested()) {
-    marshal.left(call);
-    co_return false;
-  }
-  if (choice.what != Choice::nothing)
-    door_.log_.debug(choice.what == Choice::shed ? "shed a req" : "errored a req",
-                     {{"route", route}, {"after_ms", (door_.sched_.now() - taken) / kMs}});
-  if (choice.what == Choice::shed) {
-    const auto pause = choice.retryAfter > 0 ? std::to_string(choice.retryAfter / kMs) : "";
-    pg::addError(out_, {"ERROR", "53300", "too busy; trying again is harmless", pause});
-  } else if (choice.what == Choice::fail) {
-    pg::addError(out_, {"ERROR", "XX000", "no answer could be had; it may have run"});
-  }
-  pg::addReady(out_);
-  co_return co_await flush();
 }
 
 } // namespace myrtlehead::clients
--- /dev/null
+++ b/tests/pipelining_test.cpp
@@ -0,0 +1,327 @@
+// Requests written behind others on one connection: attempted side by side, answered in order, and handled
+// whole when the client leaves, the process ends or descriptors are short.
+#include "raw.h"
+
+#include <map>
+
+using namespace myrtlehead;
+
+namespace {
+
+// A marshal before a node that answers each request after the time that the request's id has been given, with
+// its id as the value.
+struct Bench {
+  explicit Bench(int descriptors = 1000)
+      : budget(descriptors), node(loop,
+                                  [this](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+                                    const bool admitted = co_await StandIn::admit(s, b);
+                                    if (admitted) co_await serve(s, b);
+                                  }),
+        marshal(loop.sched, smallDeployment(), 7, loop.log),
+        pool(loop.sched, loop.budget, loop.log, 100 * kMs, 30 * kSec, {"waiting"}, 0),
+        door(loop.sched, budget, marshal, pool, loop.log, *net::parseAddress("127.0.0.1:0"),
+             {"read", "write", "once"}, {5 * kSec, 5 * kSec, 5 * kSec}, 0) {
+    marshal.news({1, 2, Phase::released, 1, 0});
+    marshal.listed({{"s-1", node.address(), {.build = 1}}}, true);
+    loop.sched.spawn(door.accept());
+  }
+  sched::Task<> serve(net::Socket &s, net::Buffer &b) {
+    for (;;) {
+      const auto sql = co_await StandIn::query(s, b);
+      if (sql.empty()) co_return;
+      const int id = std::stoi(sql.substr(sql.find("id=") + 3));
+      seen[id] = loop.sched.now();
+      mostOut = std::max(mostOut, ++out);
+      if (delay.contains(id)) co_await loop.sched.sleep(delay[id]);
+      --out;
+      const auto answer = StandIn::row(large.contains(id) ? std::string(large[id], 'x') : std::to_string(id));
+      co_await s.write(answer, {});
+    }
+  }
+  sched::Task<std::unique_ptr<net::Socket>> connect() {
+    auto socket = co_await net::connect(loop.sched, loop.budget, door.address(), {});
+    assert(socket);
+    co_return std::move(*socket);
+  }
+  Loop loop;
+  net::Descriptors budget; // the door's
+  std::map<int, Ns> delay, seen;
+  std::map<int, std::size_t> large; // sizes of values
+  int out = 0, mostOut = 0;
+  StandIn node;
+  Marshal marshal;
+  nodes::Pool pool;
+  clients::Door door;
+};
+
+struct Answer {
+  char type = 0;     // of the message that tells it: D, E or I
+  std::string value; // of the row, or the error's code
+  Ns at = 0;
+};
+
+// Answers up to the n-th ReadyForQuery; fewer where the connection ends before.
+sched::Task<std::vector<Answer>> answers(Bench &bench, net::Socket &s, net::Buffer &b, int n) {
+  std::vector<Answer> out;
+  Answer next;
+  while (n > 0) {
+    pg::Message m;
+    if (pg::parseMessage(b.view(), m) != pg::Parsed::whole) {
+      const auto cause = co_await s.read(b, {});
+      if (cause != net::Cause::none) break;
+      continue;
+    }
+    if (m.type == 'D') next = {'D', std::string(m.body.substr(6)), bench.loop.sched.now()};
+    if (m.type == 'E') next = {'E', std::string(pg::errorCode(m.body)), bench.loop.sched.now()};
+    if (m.type == 'I') next = {'I', "", bench.loop.sched.now()};
+    if (m.type == 'Z') out.push_back(std::exchange(next, {})), --n;
+    b.consume(m.size);
+  }
+  co_return out;
+}
+
+std::string asks(int from, int to, const char *route = "read") {
+  std::string out;
+  for (int id = from; id <= to; ++id) out += ask(id, route);
+  return out;
+}
+
+} // namespace
+
+// The one ahead takes 300 ms: those behind are with the node meanwhile, and come right behind it, in order.
+static void requestsBehindASlowOneAreAttemptedBesideIt() {
+  Bench bench;
+  bench.delay[1] = 300 * kMs;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await bench.connect();
+    const auto bytes = opening() + asks(1, 8);
+    const Ns begun = bench.loop.sched.now();
+    co_await client->write(bytes, {});
+    net::Buffer b;
+    const auto got = co_await answers(bench, *client, b, 9);
+    assert(got.size() == 9);
+    for (int id = 1; id <= 8; ++id) {
+      const auto &answer = got[static_cast<std::size_t>(id)];
+      assert(answer.type == 'D' && answer.value == std::to_string(id));
+    }
+    for (int id = 2; id <= 8; ++id) assert(bench.seen[id] < begun + 200 * kMs);
+    assert(got[8].at < begun + 450 * kMs);
+  };
+  bench.loop.run(body());
+  assert(bench.mostOut >= 2);
+}
+
+// One that was written while another was in hand is taken up at once, too.
+static void aRequestThatComesLaterIsTakenUpAtOnce() {
+  Bench bench;
+  bench.delay[1] = 300 * kMs;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await bench.connect();
+    const auto first = opening() + ask(1), second = ask(2);
+    co_await client->write(first, {});
+    while (!bench.seen.contains(1)) co_await bench.loop.sched.sleep(kMs);
+    const Ns written = bench.loop.sched.now();
+    co_await client->write(second, {});
+    net::Buffer b;
+    const auto got = co_await answers(bench, *client, b, 3);
+    assert(got.size() == 3 && got[1].value == "1" && got[2].value == "2");
+    assert(bench.seen[2] < written + 200 * kMs);
+  };
+  bench.loop.run(body());
+}
+
+// What needs no node keeps its place among the answers: errors, empty queries, Sync after an error.
+static void whatNeedsNoNodeIsAnsweredInItsTurn() {
+  Bench bench;
+  bench.delay[1] = 50 * kMs;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await bench.connect();
+    const std::string parse("P\0\0\0\10\0\0\0\0", 9), sync("S\0\0\0\4", 5);
+    const auto bytes = opening() + ask(1) + query("") + query("SELECT 1; SELECT 2") + ask(2) + parse +
+                       ask(9) + sync + ask(3);
+    co_await client->write(bytes, {});
+    net::Buffer b;
+    const auto got = co_await answers(bench, *client, b, 7);
+    assert(got.size() == 7);
+    assert(got[1].value == "1" && got[2].type == 'I' && got[3].value == "42601" && got[4].value == "2");
+    assert(got[5].value == "0A000" && got[6].value == "3" && !bench.seen.contains(9));
+  };
+  bench.loop.run(body());
+}
+
+// An id is open until its answer has been written: on another connection it is refused, on its own it waits.
+static void anIdIsOpenUntilItsAnswerIsWritten() {
+  Bench bench;
+  bench.delay[1] = 150 * kMs;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await bench.connect(), other = co_await bench.connect();
+    const auto bytes = opening() + ask(1) + ask(2) + ask(2) + ask(3), same = opening() + ask(2);
+    co_await client->write(bytes, {});
+    while (!bench.seen.contains(2)) co_await bench.loop.sched.sleep(kMs);
+    const Ns first = bench.seen[2];
+    co_await bench.loop.sched.sleep(20 * kMs); // answered by its node, and held behind the first
+    co_await other->write(same, {});
+    net::Buffer b, c;
+    const auto refused = co_await answers(bench, *other, c, 2);
+    assert(refused.size() == 2 && refused[1].value == "42710");
+    auto got = co_await answers(bench, *client, b, 5);
+    assert(got.size() == 5 && got[1].value == "1" && got[2].value == "2" && got[3].value == "2" &&
+           got[4].value == "3");
+    assert(bench.seen[2] > first + 100 * kMs);
+    const auto again = ask(2);
+    co_await other->write(again, {});
+    got = co_await answers(bench, *other, c, 1);
+    assert(got.size() == 1 && got[0].value == "2");
+  };
+  bench.loop.run(body());
+}
+
+// One that is given up is answered as such in its turn, and holds nothing up.
+static void oneThatIsGivenUpIsToldInItsTurn() {
+  Bench bench;
+  bench.delay[2] = 2 * kSec;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await bench.connect();
+    const auto late = query("SELECT v FROM records WHERE k = '7f' /* id=2,c=once,d=150 */");
+    const auto bytes = opening() + ask(1) + late + ask(3);
+    const Ns begun = bench.loop.sched.now();
+    co_await client->write(bytes, {});
+    net::Buffer b;
+    const auto got = co_await answers(bench, *client, b, 4);
+    assert(got.size() == 4 && got[1].value == "1" && got[2].value == "XX000" && got[3].value == "3");
+    assert(got[3].at < begun + 600 * kMs);
+  };
+  bench.loop.run(body());
+}
+
+// All in hand are called off, nothing more is sent, and their ids are free.
+static void aClientThatLeavesEndsAllItsRequests() {
+  Bench bench;
+  for (int id = 1; id <= 5; ++id) bench.delay[id] = 5 * kSec;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await bench.connect();
+    const auto bytes = opening() + asks(1, 5);
+    co_await client->write(bytes, {});
+    while (bench.seen.size() < 5) co_await bench.loop.sched.sleep(kMs);
+    client.reset();
+    co_await bench.loop.sched.sleep(50 * kMs);
+    bench.delay.clear();
+    auto other = co_await bench.connect();
+    co_await other->write(bytes, {});
+    net::Buffer b;
+    const auto got = co_await answers(bench, *other, b, 6);
+    assert(got.size() == 6);
+    for (int id = 1; id <= 5; ++id) assert(got[static_cast<std::size_t>(id)].value == std::to_string(id));
+  };
+  bench.loop.run(body());
+}
+
+// 24 descriptors leave 8 places: what stands behind waits for one, no more are out at once, and all are
+// served in order.
+static void placesBoundWhatIsAttemptedAtOnce() {
+  Bench bench(24);
+  for (int id = 1; id <= 40; ++id) bench.delay[id] = 20 * kMs;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await bench.connect();
+    const auto bytes = opening() + asks(1, 40);
+    co_await client->write(bytes, {});
+    net::Buffer b;
+    const auto got = co_await answers(bench, *client, b, 41);
+    assert(got.size() == 41);
+    for (int id = 1; id <= 40; ++id) assert(got[static_cast<std::size_t>(id)].value == std::to_string(id));
+  };
+  bench.loop.run(body());
+  assert(bench.mostOut >= 4 && bench.mostOut <= 8);
+}
+
+// The places are all taken for longer than half of its time: it is refused, never sent, in its turn.
+static void whoGetsNoPlaceInTimeIsRefused() {
+  Bench bench(24);
+  for (int id = 1; id <= 8; ++id) bench.delay[id] = 400 * kMs;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await bench.connect();
+    const auto impatient = query("SELECT v FROM records WHERE k = '7f' /* id=9,c=once,d=200 */");
+    const auto bytes = opening() + asks(1, 8) + impatient + ask(10);
+    co_await client->write(bytes, {});
+    net::Buffer b;
+    const auto got = co_await answers(bench, *client, b, 11);
+    assert(got.size() == 11 && got[8].value == "8" && got[9].value == "53300" && got[10].value == "10");
+    assert(!bench.seen.contains(9));
+  };
+  bench.loop.run(body());
+}
+
+// A client that writes on and on and reads nothing is not read on; when it reads, all is there, in order.
+static void aClientThatReadsNothingIsNotReadOn() {
+  Bench bench;
+  constexpr int kMany = 1000;
+  for (int id = 1; id <= kMany; ++id) bench.large[id] = 16'000;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await bench.connect();
+    auto write = [&]() -> sched::Task<> {
+      const auto bytes = opening() + asks(1, kMany);
+      co_await client->write(bytes, {});
+    };
+    bench.loop.sched.spawn(write());
+    co_await bench.loop.sched.sleep(500 * kMs);
+    const auto before = bench.seen.size();
+    assert(before < kMany / 2);
+    co_await bench.loop.sched.sleep(200 * kMs);
+    assert(bench.seen.size() == before);
+    net::Buffer b;
+    const auto got = co_await answers(bench, *client, b, kMany + 1);
+    assert(got.size() == kMany + 1);
+    for (const auto &answer : got) assert(answer.type == 0 || answer.value.size() == 16'000);
+  };
+  bench.loop.run(body());
+}
+
+// A connection with requests in hand is not idle; once all are answered it is, and may be closed.
+static void aConnectionIsIdleOnceAllIsAnswered() {
+  Bench bench(12);
+  bench.delay[1] = 2500 * kMs;
+  auto body = [&]() -> sched::Task<> {
+    auto client = co_await bench.connect();
+    const auto bytes = opening() + query("SELECT v FROM records WHERE k = '7f' /* id=1,c=read,d=4000 */") +
+                       asks(2, 4);
+    co_await client->write(bytes, {});
+    co_await bench.loop.sched.sleep(2200 * kMs); // longer than an idle one is left alone
+    std::vector<std::unique_ptr<Raw>> others;
+    for (int i = 0; i < 5; ++i) others.push_back(std::make_unique<Raw>(bench.door.address()));
+    net::Buffer b;
+    const auto got = co_await answers(bench, *client, b, 5);
+    assert(got.size() == 5 && got[1].value == "1" && got[4].value == "4");
+    others.clear();
+    co_await bench.loop.sched.sleep(2200 * kMs);
+    for (int i = 0; i < 5; ++i) others.push_back(std::make_unique<Raw>(bench.door.address()));
+    const net::Until until{bench.loop.sched.now() + kSec, nullptr};
+    const auto cause = co_await client->read(b, until);
+    assert(cause == net::Cause::ended);
+  };
+  bench.loop.run(body());
+}
+
+// Asked to end while several are in hand: all are answered, in order, then the connection ends.
+static void anEndAnswersAllInHand() {
+  Bench bench;
+  for (int id = 1; id <= 4; ++id) bench.delay[id] = (1100 - 100 * id) * kMs;
+  Raw client(bench.door.address());
+  client.write(opening() + asks(1, 4));
+  bench.loop.run(bench.door.close());
+  const auto got = client.all();
+  assert(got == "RZTDCZTDCZTDCZTDCZ");
+}
+
+int main() {
+  requestsBehindASlowOneAreAttemptedBesideIt();
+  aRequestThatComesLaterIsTakenUpAtOnce();
+  whatNeedsNoNodeIsAnsweredInItsTurn();
+  anIdIsOpenUntilItsAnswerIsWritten();
+  oneThatIsGivenUpIsToldInItsTurn();
+  aClientThatLeavesEndsAllItsRequests();
+  placesBoundWhatIsAttemptedAtOnce();
+  whoGetsNoPlaceInTimeIsRefused();
+  aClientThatReadsNothingIsNotReadOn();
+  aConnectionIsIdleOnceAllIsAnswered();
+  anEndAnswersAllInHand();
+}
