A list whose watch was ended, or that came from the configuration, is doubted in time

Discovery is down from 8.7 to 19.3 s and again from 24.5 s; it takes 0.23 s a call.

At fault: Subscription::provenSince returned 0, `the list is to be believed`, for a watch that was cut (`cut_`) and for a process that no list had reached (`lineAt_ == 0`), whatever failed afterwards. Ruled out: the spread of calls alone (discovery served as many as it could while it was up), the settings' time for asking (10 s).

Change: the list is doubted 5.5 s after it last held all that could count as told, also after a cut. A process whose first call has failed sends nothing until a list comes. A refused connection to discovery (nobody listens) moves the time on; a refused call does not, as down and overbooked look alike.

--- a/src/decide/subscription/subscription.cpp
+++ b/src/decide/subscription/subscription.cpp
@@ -14,6 +14,7 @@
 constexpr Ns kSilenceSpread = 1400 * kMs, kMoveSpread = 1500 * kMs;
 constexpr Ns kProof = 5500 * kMs;      // the told time less a way there, a try's and the drain's own slack
 constexpr Ns kMovedProof = 3500 * kMs; // the same of the four seconds after a move
+constexpr Ns kEarliest = 1;            // 0 says that the list is believed, and that a node was never proven
 constexpr Ns kUnanswered = 3 * kSec;   // a call that discovery has neither answered nor refused is made again
 // After a failure: a marshal alone, each further one of the fleet, and all of them once it goes on failing.
 constexpr Ns kRetry = 400 * kMs, kEach = 20 * kMs, kMost = 6 * kSec;
@@ -26,18 +27,22 @@
 
 bool Subscription::lively(Ns now) const { return lineAt_ > 0 && now - lineAt_ < kLine + kLate; }
 
-void Subscription::called(Ns now) { callAt_ = now + kUnanswered; }
+// The list known at the start is believed until the first call has failed.
+void Subscription::called(Ns now) {
+  callAt_ = now + kUnanswered;
+  if (!hasCalled()) currentAt_ = now;
+}
 
 void Subscription::answered() {
   callAt_ = kNoCall;
   failures_ = 0;
-  cut_ = false;
 }
 
 void Subscription::line(bool here, Ns now, double chance) {
   if (!here) return;
   answered();
-  lineAt_ = now, movedAt_ = 0;
+  lineAt_ = currentAt_ = now, movedAt_ = 0;
+  startFailed_ = false;
   callAt_ = now + kLine + kLate + turn(asked_ ? kSilenceSpread : 0, chance);
 }
 
@@ -46,7 +51,10 @@
 // for asking.
 void Subscription::ended(Ended how, Others others, Ns now, double chance) {
   if (others == Others::stands && lively(now)) return; // what is still open speaks for itself
-  cut_ = cut_ || how == Ended::cut;
+  // A watch that tells up to its end has told all by then, and nobody is told anything while nobody listens.
+  const bool whole = how == Ended::cut && lively(now);
+  if (whole || how == Ended::down) currentAt_ = now;
+  startFailed_ = startFailed_ || lineAt_ == 0;
   if (others == Others::asked) return; // so does a call that is out, by its end or once its time has passed
   Ns first = asked_ ? std::max(kRetry, kEach * marshals_) : kAgent;
   if (how == Ended::cut && askEvery_ > 0) first = std::min(first, std::max(kRetry, askEvery_ / 4));
@@ -62,9 +70,12 @@
 }
 
 Ns Subscription::provenSince(Ns now) const {
-  if (movedAt_ != 0 && now >= movedAt_ + kMovedProof) return now - kMovedProof;
-  if (lineAt_ == 0 || cut_ || now < lineAt_ + kProof) return 0;
-  return now - kProof;
+  if (movedAt_ != 0 && now >= movedAt_ + kMovedProof) return std::max(now - kMovedProof, kEarliest);
+  // Nobody knows how old a list is that was known at the start: a node of it may have left and come back, and
+  // serve, while its leaving counts as told and its return does not.
+  if (startFailed_) return kNothingProven;
+  if (!hasCalled() || now < currentAt_ + kProof) return 0;
+  return std::max(now - kProof, kEarliest);
 }
 
 } // namespace myrtlehead::subscription
--- a/src/decide/subscription/subscription.h
+++ b/src/decide/subscription/subscription.h
@@ -11,14 +11,15 @@
 namespace myrtlehead::subscription {
 
 constexpr Ns kNoCall = std::numeric_limits<Ns>::max();
+constexpr Ns kNothingProven = std::numeric_limits<Ns>::max(); // no node may be sent to
 // A watch without a line for so long is over (a line comes every two seconds), as is a call without an
 // answer.
 constexpr Ns kOver = 5 * kSec;
 
 // How a call or a watch ended. refused: discovery says that it can't, breaks the call off or keeps it
-// waiting. unreachable: no connection came about. cut: discovery ended a watch that stood, as when it goes
-// down.
-enum class Ended { refused, unreachable, cut };
+// waiting. unreachable: no connection came about. down: its machine refused the connection, so nobody listens
+// there. cut: discovery ended a watch that stood, as when it goes down.
+enum class Ended { refused, unreachable, down, cut };
 
 // What else is open at discovery's present place: nothing, a call that has not told anything yet, or a watch.
 enum class Others { none, asked, stands };
@@ -41,9 +42,11 @@
 
   Ns callAt() const { return callAt_; } // when the next call goes out; kNoCall: not as things stand
   // A node may only be sent to if it has served a try that was sent to it since then; 0: the list is to be
-  // believed. Past the time at which a silent watch counts as read, a departure unheard of would be held
-  // against this marshal; a node that has just served was no departing one.
+  // believed. Past the time at which what discovery has to tell counts as told, a departure unheard of would
+  // be held against this marshal, whether its watch has fallen silent, was ended, or never came about. A node
+  // that has just served was no departing one. kNothingProven: of no node is that known.
   Ns provenSince(Ns now) const;
+  bool neverTold() const { return lineAt_ == 0; }
 
 private:
   Ns turn(Ns window, double chance) const; // this marshal's place among all, within the window
@@ -51,9 +54,11 @@
   bool asked_;
   Ns askEvery_;
   Ns callAt_ = 0, lineAt_ = 0; // lineAt_: the last line here
-  Ns movedAt_ = 0;             // no line has come since the move; 0: one has
+  Ns currentAt_ = kNoCall;     // when the list last held all that counts as told; kNoCall: never asked
+  bool hasCalled() const { return currentAt_ != kNoCall; }
+  bool startFailed_ = false; // a call has failed, and no line has come since the start
+  Ns movedAt_ = 0;           // no line has come since the move; 0: one has
   bool lively(Ns now) const;
-  bool cut_ = false; // the last watch was ended by discovery, and had not fallen silent
   int failures_ = 0; // calls in a row
 };
 
--- a/src/follow/catalog/watch.cpp
+++ b/src/follow/catalog/watch.cpp
@@ -81,10 +81,12 @@
   if (stop->requested()) co_return; // replaced: a newer one tells
   log_.info("watch on discovery ended", {{"cause", net::word(cause)}, {"status", call.head().status}});
   const bool itsEnd = cause == net::Cause::ended || cause == net::Cause::broken;
-  marshal_.listEnded(asked.reach == net::Reach::unconnected ? Ended::unreachable
-                     : self->told && itsEnd                 ? Ended::cut
-                                                            : Ended::refused,
-                     others(), open_.empty());
+  auto how = Ended::refused;
+  if (asked.reach == net::Reach::unconnected)
+    how = asked.cause == net::Cause::refused ? Ended::down : Ended::unreachable;
+  else if (self->told && itsEnd)
+    how = Ended::cut;
+  marshal_.listEnded(how, others(), open_.empty());
 }
 
 bool Watch::line(const std::string &text) {
--- a/src/marshal/marshal.cpp
+++ b/src/marshal/marshal.cpp
@@ -257,9 +257,14 @@
 }
 
 void Marshal::round() {
-  const Ns since = subscription_.provenSince(now());
-  if (since != 0 && guard_.s.provenSince == 0)
-    log_.info("the list has fallen silent: only nodes that have just served are sent to");
+  // Where names are followed too, they stand in for a list that has never come.
+  const bool namesAlone = sources_ != nullptr && subscription_.neverTold();
+  const Ns since = namesAlone ? 0 : subscription_.provenSince(now());
+  if (since == subscription::kNothingProven && guard_.s.provenSince != since)
+    log_.warning(
+        "no list has come since the start and a call for it has failed: nothing is sent until one comes");
+  else if (since != 0 && guard_.s.provenSince == 0)
+    log_.info("the list is out of date: only nodes that have just served are sent to");
   else if (since == 0 && guard_.s.provenSince != 0)
     log_.info("the list is told again");
   guard_.unsure(since);
