A node that has served is believed to stay for 4 s, as a draining one may serve on

So "a node that serves was not departing" does not hold: a draining node may take requests for a while. At fault: provenSince used the told time less 0.5 s for the age of the list and for the age of the proof alike.

Change: the proof lasts 4 s, so a node may serve on for nearly two seconds into its drain. The list is doubted from 5.5 s on, as before.

--- a/src/decide/subscription/subscription.cpp
+++ b/src/decide/subscription/subscription.cpp
@@ -13,6 +13,9 @@
 // which it answers or refuses; after a move, within its four seconds likewise.
 constexpr Ns kSilenceSpread = 1400 * kMs, kMoveSpread = 1500 * kMs;
 constexpr Ns kProof = 5500 * kMs;      // the told time less a way there, a try's and the drain's own slack
+// How long it counts that a node has served. A draining node may go on serving for a while (seen: 1.05 s), so
+// two seconds of the told time are kept for that.
+constexpr Ns kProofLife = 4 * kSec;
 constexpr Ns kMovedProof = 3500 * kMs; // the same of the four seconds after a move
 constexpr Ns kEarliest = 1;            // 0 says that the list is believed, and that a node was never proven
 constexpr Ns kUnanswered = 3 * kSec;   // a call that discovery has neither answered nor refused is made again
@@ -75,7 +78,7 @@
   // serve, while its leaving counts as told and its return does not.
   if (startFailed_) return kNothingProven;
   if (!hasCalled() || now < currentAt_ + kProof) return 0;
-  return std::max(now - kProof, kEarliest);
+  return std::max(now - kProofLife, kEarliest);
 }
 
 } // namespace myrtlehead::subscription
