Laboratory: pipelines, what pipelining clients are served; tests of a list that is out of date

Need: the gain and the price of attempting pipelined requests side by side are to be shown by a command, at depths 1, 4 and 16, beside the version before in one invocation; and the two orders of disco+mass by real connections.

Change: `myrtlehead_lab pipelines [--before PROGRAM]`: requests due at an even pace, nodes with log-normal work, share served in time, p50, p99 and the marshal's processor time. The fleet of the floor's measure moves to bench_fleet, which both use. Processor time is read from schedstat (nanoseconds) in place of ticks of 10 ms.

watch_test: aStartWithoutAListSendsNothingOnceItsCallHasFailed and aListIsDoubtedInTimeAfterItsWatchWasEnded, each over connections to a stand-in for discovery.

--- a/lab/floor.cpp
+++ b/lab/floor.cpp
@@ -1,18 +1,15 @@
 #include "lab/floor.h"
 
-#include "lab/fleet.h"
+#include "lab/bench_fleet.h"
 #include "lab/load.h"
 #include "lab/process.h"
 #include "lab/relay.h"
 
 #include <algorithm>
 #include <csignal>
-#include <filesystem>
 #include <fmt/format.h>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <sys/prctl.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 namespace myrtlehead::lab {
@@ -20,54 +17,8 @@
 namespace {
 
 using nlohmann::json;
-constexpr int kServers = 8;
 
-// A forked part of the measure, ended with it.
-struct Part {
-  pid_t pid = 0;
-  ~Part() {
-    if (pid <= 0) return;
-    kill(pid, SIGKILL);
-    waitpid(pid, nullptr, 0);
-  }
-};
-
-// The fleet in a process of its own; tells its addresses.
-json startFleet(Part &part) {
-  int fds[2];
-  if (pipe(fds) != 0) throw std::runtime_error("no pipe");
-  part.pid = fork();
-  if (part.pid == 0) {
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    close(fds[0]);
-    sched::Scheduler sched;
-    net::Descriptors budget(100'000);
-    const auto any = *net::parseAddress("127.0.0.1:0");
-    Fleet::Beginning beginning{
-        any, any, 1, {}, {0.3, 1}, {.cores = 10'000, .mean = 20 * kMs, .queue = 10'000}, 1};
-    for (int i = 1; i <= kServers; ++i) beginning.nodes.emplace_back("s-" + std::to_string(i), any);
-    Fleet fleet(sched, budget, beginning);
-    json out{{"discovery", fleet.discovery()},
-             {"platform", fleet.platform()},
-             {"known", json::parse(fleet.list(true, 0))}};
-    for (int i = 1; i <= kServers; ++i)
-      out["servers"].push_back(net::text(fleet.find("s-" + std::to_string(i))->address()));
-    const auto text = out.dump();
-    if (write(fds[1], text.data(), text.size()) != static_cast<ssize_t>(text.size())) _exit(1);
-    close(fds[1]);
-    sched.run();
-    _exit(0);
-  }
-  close(fds[1]);
-  std::string text;
-  char bytes[4096];
-  for (ssize_t n = 0; (n = read(fds[0], bytes, sizeof bytes)) > 0;)
-    text.append(bytes, static_cast<std::size_t>(n));
-  close(fds[0]);
-  return json::parse(text);
-}
-
-net::Address startRelay(Part &part, const json &fleet) {
+net::Address startRelay(ChildProcess &part, const json &fleet) {
   std::vector<net::Address> servers;
   for (const auto &s : fleet["servers"]) servers.push_back(*net::parseAddress(s.get<std::string>()));
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
@@ -85,35 +36,6 @@
   return at;
 }
 
-std::string configure(const json &fleet, const std::string &folder) {
-  std::filesystem::create_directories(folder);
-  const json settings{
-      {"me", 0},
-      {"peersTotal", 1},
-      {"locality", 0},
-      {"failureDomains", {"here"}},
-      {"registryMode", "ask"},
-      {"resolutionUs", 1000},
-      {"services", {{{"name", "read"}, {"effect", "free"}, {"onTimeUs", 250'000}, {"worth", 1}}}},
-      {"familyInfo", {{"control", "by_count"}, {"caps", {0.3, 1.0}}, {"free", 2}, {"votesToGo", 1}}},
-      {"contract", {{"coldUs", 100'000}}},
-      {"limits", {{"mostTries", 4}}},
-      {"telemetry", {{"fields", {"waiting"}}}}};
-  const auto path = folder + "/floor.json";
-  std::ofstream(path) << json{
-      {"name", "n0"},
-      {"listen", "127.0.0.1:0"},
-      {"discovery", fleet["discovery"]},
-      {"seed", "1"},
-      {"limits", {{"sockets", 8192}, {"memory_mb", 192}}},
-      {"platform",
-       {{"address", fleet["platform"]},
-        {"news", {{"build", 1}, {"stage", 1}, {"phase", "Healthy"}, {"cap", 1}, {"age_ms", 0}}}}},
-      {"known", fleet["known"]},
-      {"settings", settings}}.dump();
-  return path;
-}
-
 struct Measured {
   double cpu = 0, p50 = 0, p99 = 0, completed = 0; // us a req; ms; part
 };
@@ -169,12 +91,12 @@
 } // namespace
 
 int floorMeasure(const std::string &program, const std::string &folder, int runs) {
-  Part fleet, bare;
-  const auto addresses = startFleet(fleet);
+  ChildProcess fleet, bare;
+  const auto addresses = startFleet(fleet, {.cores = 10'000, .mean = 20 * kMs, .queue = 10'000});
   const auto relayAt = startRelay(bare, addresses);
   sched::Scheduler sched;
   net::Descriptors budget(100'000);
-  Process marshal(sched, budget, program, {"serve", "--config", configure(addresses, folder)},
+  Process marshal(sched, budget, program, {"serve", "--config", writeConfiguration(addresses, folder)},
                   folder + "/floor.log");
   std::optional<net::Address> marshalAt;
   auto start = [&]() -> sched::Task<> {
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -2,6 +2,7 @@
 #include "lab/fleet.h"
 #include "lab/floor.h"
 #include "lab/histories.h"
+#include "lab/pipelines.h"
 #include "lab/process.h"
 #include "lab/run.h"
 #include "lab/sizes.h"
@@ -172,6 +173,11 @@
   auto *sizes = app.add_subcommand(
       "sizes", "10,000 servers at 500 marshals: moves, spread of load, time of an update");
   auto *begun = app.add_subcommand("starts", "Queries of a hundred marshals that start in one instant");
+  auto *pipelined = app.add_subcommand(
+      "pipelines", "Pipelined requests behind slow ones: served in time, latency and CPU by depth");
+  pipelined->add_option("--runs", w.runs)->check(CLI::Range(1, 100));
+  pipelined->add_option("--before", w.other, "An earlier version's program, measured in turn with --marshal")
+      ->check(CLI::ExistingFile);
   auto *floors = app.add_subcommand("floor", "CPU a req and added latency beside a bare relay");
   floors->add_option("--runs", w.runs)->check(CLI::Range(1, 100));
   try {
@@ -183,6 +189,7 @@
     if (demos->parsed()) return demo(w);
     if (begun->parsed()) return lab::starts();
     if (sizes->parsed()) return lab::sizes();
+    if (pipelined->parsed()) return lab::measurePipelines({w.marshal, w.other, w.folder, w.runs});
     if (floors->parsed()) return lab::floorMeasure(w.marshal, w.folder, w.runs);
     if (compared->parsed()) return fmt::print("{}", lab::compare(read(w.report), read(w.other))), 0;
   } catch (const CLI::CallForHelp &e) {
--- a/lab/process.cpp
+++ b/lab/process.cpp
@@ -5,7 +5,6 @@
 #include <filesystem>
 #include <fstream>
 #include <spawn.h>
-#include <sstream>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -93,15 +92,25 @@
   co_return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
 }
 
+namespace {
+// Time on a core of all threads of a process, as the kernel's scheduler counts it in nanoseconds.
+double cpuSecondsOf(int pid) {
+  double out = 0;
+  std::error_code gone;
+  for (const auto &task :
+       std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/task", gone)) {
+    std::ifstream schedstat(task.path() / "schedstat");
+    double onCore = 0;
+    if (schedstat >> onCore) out += onCore / 1e9;
+  }
+  return out;
+}
+} // namespace
+
 Costs costsOf(int pid) {
   Costs out;
-  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+  out.cpuSeconds = cpuSecondsOf(pid);
   std::string text;
-  std::getline(stat, text);
-  std::istringstream rest(text.substr(std::min(text.rfind(')') + 1, text.size())));
-  std::string word;
-  for (int i = 0; rest >> word; ++i)
-    if (i == 11 || i == 12) out.cpuSeconds += std::stod(word) / static_cast<double>(sysconf(_SC_CLK_TCK));
   std::ifstream status("/proc/" + std::to_string(pid) + "/status");
   while (std::getline(status, text))
     if (text.starts_with("VmRSS:")) out.residentKb = std::stol(text.substr(6));
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -197,7 +197,118 @@
   }
 }
 
+// A marshal before discovery and one node, s-1, that answers each request at once.
+struct WithNode {
+  explicit WithNode(StandIn::Script discovery) : calls(std::move(discovery)), node(calls.loop, serve) {
+    calls.marshal.news({1, 2, Phase::released, 1, 0});
+    calls.loop.sched.spawn(calls.marshal.tick());
+  }
+  static sched::Task<> serve(net::Socket &s, net::Buffer &b) {
+    const bool admitted = co_await StandIn::admit(s, b);
+    if (!admitted) co_return;
+    for (std::string sql = co_await StandIn::query(s, b); !sql.empty(); sql = co_await StandIn::query(s, b)) {
+      const auto row = StandIn::row("value");
+      co_await s.write(row, {});
+    }
+  }
+  std::string list(int index) const {
+    return "{\"index\":" + std::to_string(index) +
+           ",\"snapshot\":true,\"endpoints\":[{\"name\":\"s-1\",\"address\":\"" + node.address() +
+           "\",\"status\":\"in_service\",\"release\":1}]}";
+  }
+  // What becomes of a request now: sent and answered, or not sent.
+  sched::Task<Choice::What> request() {
+    sched::Stop stop;
+    Call call(0, 7, 400 * kMs, false, calls.loop.sched.now());
+    const auto choice = co_await calls.marshal.pick(call, stop);
+    if (choice.what == Choice::send) calls.marshal.report(call, Outcome::completed);
+    co_return choice.what;
+  }
+  Calls calls;
+  StandIn node;
+};
+
+const std::string kRefused = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+
+// A process whose first call is refused has a list of unknown age: it sends nothing until one has come.
+static void aStartWithoutAListSendsNothingOnceItsCallHasFailed() {
+  bool mayAnswer = false, refused = false;
+  WithNode *all = nullptr;
+  WithNode w([&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await requestLine(s, b);
+    if (!mayAnswer) co_await all->calls.loop.sched.sleep(100 * kMs);
+    const auto out = mayAnswer ? kStream + chunk(all->list(43) + "\n") : kRefused;
+    refused = !mayAnswer;
+    co_await s.write(out, {});
+    if (mayAnswer) co_await s.read(b, {});
+  });
+  all = &w;
+  auto body = [&]() -> sched::Task<> {
+    const auto known = json::parse(w.list(41));
+    assert(w.calls.watch.start(*known));
+    w.calls.loop.sched.spawn(w.calls.watch.run());
+    auto was = co_await w.request();
+    assert(was == Choice::send); // what is known is believed while the call is out
+    while (!refused) co_await w.calls.loop.sched.sleep(kMs);
+    co_await w.calls.loop.sched.sleep(20 * kMs);
+    was = co_await w.request();
+    assert(was == Choice::shed);
+    mayAnswer = true;
+    while (was != Choice::send) was = co_await w.request();
+  };
+  w.calls.loop.run(body());
+}
+
+// A watch that discovery ends, with every further call refused: once what it misses may count as told, only a
+// node that has just served is sent to.
+static void aListIsDoubtedInTimeAfterItsWatchWasEnded() {
+  int asked = 0;
+  WithNode *all = nullptr;
+  WithNode w([&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await requestLine(s, b);
+    const auto out = ++asked == 1 ? kStream + chunk(all->list(42) + "\n") : kRefused;
+    co_await s.write(out, {});
+  });
+  all = &w;
+  auto body = [&]() -> sched::Task<> {
+    auto &sched = w.calls.loop.sched;
+    w.calls.loop.sched.spawn(w.calls.watch.run());
+    while (w.calls.marshal.find("s-1") == nullptr) co_await sched.sleep(kMs);
+    const Ns ended = sched.now();
+    auto was = co_await w.request();
+    assert(was == Choice::send);
+    co_await sched.sleep(ended + 5 * kSec - sched.now());
+    was = co_await w.request(); // it serves, and is proven by that
+    assert(was == Choice::send);
+    co_await sched.sleep(ended + 6 * kSec - sched.now());
+    was = co_await w.request();
+    assert(was == Choice::send);
+    co_await sched.sleep(ended + 6 * kSec + 2 * kSec - sched.now());
+    was = co_await w.request();
+    assert(was == Choice::send);
+  };
+  w.calls.loop.run(body());
+  WithNode silent([&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await requestLine(s, b);
+    const auto out = ++asked == 1 ? kStream + chunk(all->list(42) + "\n") : kRefused;
+    co_await s.write(out, {});
+  });
+  all = &silent, asked = 0;
+  auto unproven = [&]() -> sched::Task<> {
+    auto &sched = silent.calls.loop.sched;
+    sched.spawn(silent.calls.watch.run());
+    while (silent.calls.marshal.find("s-1") == nullptr) co_await sched.sleep(kMs);
+    co_await sched.sleep(5600 * kMs);
+    const auto was = co_await silent.request();
+    assert(was == Choice::shed);
+    assert(asked > 2);
+  };
+  silent.calls.loop.run(unproven());
+}
+
 int main() {
+  aStartWithoutAListSendsNothingOnceItsCallHasFailed();
+  aListIsDoubtedInTimeAfterItsWatchWasEnded();
   anEndBehindARefusalIsNotForgotten();
   aRefusalAtTheNewPlaceIsNotTheLastCallThere();
   whatTellsNothingIsAskedForAgain();
