--- a/lab/node.h
+++ b/lab/node.h
@@ -40,7 +40,7 @@
     Ns last = 0;
   };
   std::unordered_map<std::string, Effect> effects; // by id, of routes that are not retriable
-  std::unordered_map<std::string, int> runsOf; // by the row asked for, of reqs that ran; where it is kept
+  std::unordered_map<std::string, int> runsOf;     // by the row asked for, of reqs that ran; where it is kept
   bool keepsRuns = false;
   Ns dedupeWindow = kSec;
   std::uint64_t sends = 0, lateToDrained = 0, trialSends = 0;
--- a/lab/tally.h
+++ b/lab/tally.h
@@ -1,4 +1,5 @@
-// Counts over the logs of a whole fleet: what is harmless in one marshal's log shows when it is summed by second.
+// Counts over the logs of a whole fleet: what is harmless in one marshal's log shows when it is summed by
+// second.
 #pragma once
 
 #include <cstdint>
@@ -13,8 +14,8 @@
 // What one kind of line came to: in all, how many marshals wrote it, and its busiest second.
 struct Kind {
   std::uint64_t lines = 0, marshals = 0;
-  std::int64_t busiest = 0; // Unix time, s
-  std::uint64_t most = 0;   // lines in it
+  std::int64_t busiest = 0;   // Unix time, s
+  std::uint64_t most = 0;     // lines in it
   std::uint64_t together = 0; // marshals in it
 };
 
@@ -37,8 +38,8 @@
   std::uint64_t logs_ = 0, passedOver_ = 0;
 };
 
-// "guard: votes on on build # stage #": the package and the message of a line, its figures left out; empty if it is
-// no line of a log. `at` becomes the Unix time in whole seconds.
+// "guard: votes on on build # stage #": the package and the message of a line, its figures left out; empty if
+// it is no line of a log. `at` becomes the Unix time in whole seconds.
 std::string kindOf(std::string_view line, std::int64_t &at);
 
 std::string table(const std::map<std::string, Kind> &kinds);
--- a/src/decide/repute/repute.cpp
+++ b/src/decide/repute/repute.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-constexpr Ns kTell = kSec;              // so often, at most
-constexpr int kListeners = 20;          // others that hear a note
-constexpr double kHalf = 3e9;           // ns after which what was told counts half
-constexpr double kEnough = 3;           // bad tries told, and
-constexpr double kShare = 0.6;          // their part of all that was told, from which a node is left out
+constexpr Ns kTell = kSec;     // so often, at most
+constexpr int kListeners = 20; // others that hear a note
+constexpr double kHalf = 3e9;  // ns after which what was told counts half
+constexpr double kEnough = 3;  // bad tries told, and
+constexpr double kShare = 0.6; // their part of all that was told, from which a node is left out
 constexpr Ns kSpell = 2 * kSec, kMost = 8 * kSec; // for so long first, doubling while it goes on
-constexpr std::size_t kMostHeld = 4096; // nodes; no others are taken up beyond that
+constexpr std::size_t kMostHeld = 4096;           // nodes; no others are taken up beyond that
 
 constexpr std::size_t kHead = 3, kEach = 5;
 
@@ -25,8 +25,8 @@
   std::vector<std::uint8_t> out{kTellingVersion, static_cast<std::uint8_t>(telling.zone >> 8),
                                 static_cast<std::uint8_t>(telling.zone)};
   for (const auto &s : telling.nodes)
-    out.insert(out.end(), {static_cast<std::uint8_t>(s.node >> 8), static_cast<std::uint8_t>(s.node), s.failed,
-                           s.lost, s.completed});
+    out.insert(out.end(), {static_cast<std::uint8_t>(s.node >> 8), static_cast<std::uint8_t>(s.node),
+                           s.failed, s.lost, s.completed});
   return out;
 }
 
@@ -35,7 +35,8 @@
     return std::nullopt;
   Telling out{static_cast<std::uint16_t>(p[1] << 8 | p[2]), {}};
   for (std::size_t at = kHead; at < n; at += kEach) {
-    out.nodes.push_back({static_cast<std::uint16_t>(p[at] << 8 | p[at + 1]), p[at + 2], p[at + 3], p[at + 4]});
+    out.nodes.push_back(
+        {static_cast<std::uint16_t>(p[at] << 8 | p[at + 1]), p[at + 2], p[at + 3], p[at + 4]});
     const auto &s = out.nodes.back();
     if (s.node == 0 || (s.failed == 0 && s.lost == 0)) return std::nullopt; // nobody tells that
   }
@@ -43,7 +44,8 @@
 }
 
 void Repute::finished(std::uint16_t node, Outcome outcome) {
-  const bool lost = outcome == Outcome::unreachable || outcome == Outcome::reset || outcome == Outcome::timedOut;
+  const bool lost = outcome == Outcome::unreachable || outcome == Outcome::reset ||
+                    outcome == Outcome::timedOut;
   const bool failed = outcome == Outcome::errored, completed = outcome == Outcome::completed;
   if (node == 0 || !(lost || failed || completed)) return;
   auto &seen = own_[node];
@@ -64,9 +66,8 @@
     if (seen.failed + seen.lost > 0) telling.nodes.push_back(seen);
   own_.clear();
   if (telling.nodes.empty() || marshals_ < 2) return {};
-  std::stable_sort(telling.nodes.begin(), telling.nodes.end(), [](const Seen &a, const Seen &b) {
-    return a.failed + a.lost > b.failed + b.lost;
-  });
+  std::stable_sort(telling.nodes.begin(), telling.nodes.end(),
+                   [](const Seen &a, const Seen &b) { return a.failed + a.lost > b.failed + b.lost; });
   telling.nodes.resize(std::min(telling.nodes.size(), kMostNodes));
   std::vector<int> others;
   for (int i = 0; i < marshals_; ++i)
@@ -91,9 +92,9 @@
 bool Repute::room(std::uint16_t node) const { return nodes_.size() < kMostHeld || nodes_.contains(node); }
 
 // Guards against nodes that fail or have vanished, where each marshal alone would meet them too seldom to
-// know. Two tellers at least, so that one whose own ways are broken condemns nobody; ways between zones differ,
-// so of lost tries only the own zone's are believed. Could harm where a node fails for some and serves others:
-// an own completed try ends the doubt.
+// know. Two tellers at least, so that one whose own ways are broken condemns nobody; ways between zones
+// differ, so of lost tries only the own zone's are believed. Could harm where a node fails for some and
+// serves others: an own completed try ends the doubt.
 void Repute::heard(int from, const Telling &telling, Ns now, std::knuth_b &chance) {
   if (from < 0 || from >= marshals_ || from == me_) return;
   for (const auto &s : telling.nodes) {
--- a/src/decide/repute/repute.h
+++ b/src/decide/repute/repute.h
@@ -1,7 +1,7 @@
-// What marshals tell each other of nodes that fail, so that a large fleet, each of whose marshals meets a node
-// once in several seconds, need not find it out a hundred times over. No I/O; time and chance are arguments.
-// A note goes out only while there is something bad to tell, to a few others drawn by chance, so its cost does
-// not grow with the square of the fleet.
+// What marshals tell each other of nodes that fail, so that a large fleet, each of whose marshals meets a
+// node once in several seconds, need not find it out a hundred times over. No I/O; time and chance are
+// arguments. A note goes out only while there is something bad to tell, to a few others drawn by chance, so
+// its cost does not grow with the square of the fleet.
 #pragma once
 
 #include "guard/terms.h"
@@ -15,8 +15,8 @@
 
 namespace myrtlehead::repute {
 
-// What one marshal has seen of a node since it last told: tries that the node failed, tries that found or kept
-// no way to it, and tries completed.
+// What one marshal has seen of a node since it last told: tries that the node failed, tries that found or
+// kept no way to it, and tries completed.
 struct Seen {
   std::uint16_t node = 0; // its mark, the same at every marshal
   std::uint8_t failed = 0, lost = 0, completed = 0;
@@ -30,7 +30,8 @@
 constexpr std::uint8_t kTellingVersion = 5;
 constexpr std::size_t kMostNodes = 50; // 253 bytes in all
 std::vector<std::uint8_t> pack(const Telling &telling);
-std::optional<Telling> unpack(const std::uint8_t *bytes, std::size_t n); // nullopt: no such note, or not whole
+std::optional<Telling> unpack(const std::uint8_t *bytes,
+                              std::size_t n); // nullopt: no such note, or not whole
 
 class Repute {
 public:
--- a/src/decide/subscription/subscription.cpp
+++ b/src/decide/subscription/subscription.cpp
@@ -12,7 +12,7 @@
 // The fleet's calls after a silence: what is left of the told time but for discovery's own two seconds in
 // which it answers or refuses; after a move, within its four seconds likewise.
 constexpr Ns kSilenceSpread = 1400 * kMs, kMoveSpread = 1500 * kMs;
-constexpr Ns kProof = 5500 * kMs;      // the told time less a way there, a try's and the drain's own slack
+constexpr Ns kProof = 5500 * kMs; // the told time less a way there, a try's and the drain's own slack
 // How long it counts that a node has served. A draining node may go on serving for a while (seen: 1.05 s), so
 // two seconds of the told time are kept for that.
 constexpr Ns kProofLife = 4 * kSec;
--- a/src/guard/state.h
+++ b/src/guard/state.h
@@ -113,10 +113,10 @@
   // The vote.
   Vote voted{Verdict::withdraw, 0, 0}; // the latest sent
   Vote wanted{Verdict::withdraw, 0, 0};
-  Ns wantedAt = 0;                     // since when it has been the verdict
-  bool voteOut = false;                // its answer is still due
-  Ns voteNext = 0;                     // no earlier vote unless the verdict changes
-  Ns voteRetry = 0;                    // none at all before this
+  Ns wantedAt = 0;      // since when it has been the verdict
+  bool voteOut = false; // its answer is still due
+  Ns voteNext = 0;      // no earlier vote unless the verdict changes
+  Ns voteRetry = 0;     // none at all before this
 
   Ns seenAt = 0;    // when the instance was last asked anything
   Ns deafUntil = 0; // end of its last standstill
--- a/src/guard/values.h
+++ b/src/guard/values.h
@@ -61,9 +61,9 @@
 constexpr double kColdBudget = 0.6, kColdSaved = 0.25; // of the cold rule's budget; of a span's, saved up
 constexpr double kLatest = 1.5, kMedianStep = 0.02;    // most that tries' time says, of their objectives
 constexpr double kTypical = 2.5; // times the median that the mean may be, before it is a few tries' trouble
-constexpr double kFlowMemory = 0.5; // seconds over which tries out and outcomes are averaged
-constexpr double kShedFrom = 0.5, kShedNow = 0.5; // for each unit above: at once;
-constexpr double kShedGain = 0.4, kShedEase = 2;  // a second; for each unit below, a second
+constexpr double kFlowMemory = 0.5;                 // seconds over which tries out and outcomes are averaged
+constexpr double kShedFrom = 0.5, kShedNow = 0.5;   // for each unit above: at once;
+constexpr double kShedGain = 0.4, kShedEase = 2;    // a second; for each unit below, a second
 constexpr double kShedMost = 0.95, kBaseMost = 0.7; // some are let in, to tell when the trouble is over
 constexpr double kShedLow = 0.7, kShedHigh = 2; // exponents on the share shed, from no importance to the most
 constexpr double kShedRepeat = 0.5, kShedSay = 0.05; // on the exponent, for a repeat; share that is logged
--- a/src/program/setup/deployment.cpp
+++ b/src/program/setup/deployment.cpp
@@ -165,8 +165,9 @@
   d.me = static_cast<int>(in.whole("me", 0, 0, 1'000'000));
   d.marshals = static_cast<int>(in.whole("peersTotal", 1, 1, 1'000'000));
   if (d.me >= d.marshals)
-    throw SetupError("settings: me is " + std::to_string(d.me) + ", but peersTotal, the number of marshals, is " +
-                     std::to_string(d.marshals) + "; they are numbered from 0");
+    throw SetupError("settings: me is " + std::to_string(d.me) +
+                     ", but peersTotal, the number of marshals, is " + std::to_string(d.marshals) +
+                     "; they are numbered from 0");
   d.zone = static_cast<int>(in.whole("locality", 0, 0, 65535));
   const auto routes = in.whole("services.count", 0, 0, 256);
   for (long i = 0; i < routes; ++i) d.routes.push_back(readRoute(in, "services." + std::to_string(i) + "."));
--- a/tests/repute_test.cpp
+++ b/tests/repute_test.cpp
@@ -125,8 +125,8 @@
   assert(r.size() <= 2); // what nobody speaks of any more is forgotten
 }
 
-// A hundred marshals that meet each of 60 nodes once in seven seconds, six of which fail: how many tries find that
-// out, with their word passed on and without.
+// A hundred marshals that meet each of 60 nodes once in seven seconds, six of which fail: how many tries find
+// that out, with their word passed on and without.
 static int triesAtFailingNodes(bool told) {
   std::vector<Repute> fleet;
   for (int i = 0; i < 100; ++i) fleet.emplace_back(i, 100, 0);
