What names stand in for is decided in decide/subscription, with a test

Need: that names stand in for a list that has never come was decided in Marshal::round, the facade, without a test.

--- a/src/decide/subscription/subscription.cpp
+++ b/src/decide/subscription/subscription.cpp
@@ -72,7 +72,8 @@
   callAt_ = now + turn(asked_ ? kMoveSpread : 0, chance);
 }
 
-Ns Subscription::provenSince(Ns now) const {
+Ns Subscription::provenSince(Ns now, bool namesFollowed) const {
+  if (namesFollowed && lineAt_ == 0) return 0;
   if (movedAt_ != 0 && now >= movedAt_ + kMovedProof) return std::max(now - kMovedProof, kEarliest);
   // Nobody knows how old a list is that was known at the start: a node of it may have left and come back, and
   // serve, while its leaving counts as told and its return does not.
--- a/src/decide/subscription/subscription.h
+++ b/src/decide/subscription/subscription.h
@@ -45,8 +45,8 @@
   // believed. Past the time at which what discovery has to tell counts as told, a departure unheard of would
   // be held against this marshal, whether its watch has fallen silent, was ended, or never came about. A node
   // that has just served was no departing one. kNothingProven: of no node is that known.
-  Ns provenSince(Ns now) const;
-  bool neverTold() const { return lineAt_ == 0; }
+  // `namesFollowed`: name records list nodes too; they stand in for a list that has never come.
+  Ns provenSince(Ns now, bool namesFollowed = false) const;
 
 private:
   Ns turn(Ns window, double chance) const; // this marshal's place among all, within the window
--- a/src/marshal/marshal.cpp
+++ b/src/marshal/marshal.cpp
@@ -257,9 +257,8 @@
 }
 
 void Marshal::round() {
-  // Where names are followed too, they stand in for a list that has never come.
-  const bool namesAlone = sources_ != nullptr && subscription_.neverTold();
-  const Ns since = namesAlone ? 0 : subscription_.provenSince(now());
+  const bool namesFollowed = sources_ != nullptr;
+  const Ns since = subscription_.provenSince(now(), namesFollowed);
   if (since == subscription::kNothingProven && guard_.s.provenSince != since)
     log_.warning(
         "no list has come since the start and a call for it has failed: nothing is sent until one comes");
--- a/tests/subscription_test.cpp
+++ b/tests/subscription_test.cpp
@@ -242,6 +242,16 @@
     CHECK(s.provenSince(now) > kDrained + kServesOn);
 }
 
+TEST_CASE("names stand in for a list that has never come, and for no other") {
+  Subscription s(fleetOf(30));
+  s.called(kSec);
+  s.ended(Ended::refused, Others::none, 3 * kSec, 0.5);
+  CHECK(s.provenSince(20 * kSec, true) == 0);
+  CHECK(s.provenSince(20 * kSec) == kNothingProven);
+  s.line(true, 20 * kSec, 0.5);
+  CHECK(s.provenSince(40 * kSec, true) > 35 * kSec);
+}
+
 TEST_CASE("while nobody listens at discovery's address, nothing new counts as told") {
   Subscription s(fleetOf(1));
   s.called(0);
