--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -9,11 +9,26 @@
 
 constexpr Nanoseconds kEndpointRetention = 120 * kSecond; // twice the default of the longest route timeout
 constexpr std::uint16_t kFingerprintCount = 0xffff;       // fingerprints are 1 to 0xffff; 0 means none
+constexpr Nanoseconds kRejectionLogInterval = kSecond;
 
 std::uint16_t fingerprintOf(const std::string &name) {
   return static_cast<std::uint16_t>(1 + XXH64(name.data(), name.size(), 0) % kFingerprintCount);
 }
 
+ListEvent listEventOf(CallEnd end) {
+  switch (end) {
+  case CallEnd::rejected:
+    return ListEvent::callRejected;
+  case CallEnd::unreachable:
+    return ListEvent::callUnreachable;
+  case CallEnd::connectionRefused:
+    return ListEvent::callRefused;
+  case CallEnd::watchClosed:
+    return ListEvent::watchClosed;
+  }
+  return ListEvent::none;
+}
+
 } // namespace
 
 RequestContext::RequestContext(int route, std::uint64_t key, Nanoseconds timeout, bool isClientRetry,
@@ -90,6 +105,7 @@
     gossip_.onOutcome(endpoint.fingerprint, outcome);
     endpoint.health.peerSuspicionUntil = gossip_.suspectUntil(endpoint.fingerprint);
   }
+  if (outcome == Outcome::rejected) logRejection(context);
   const bool isAnswered = outcome == Outcome::succeeded || request.finished;
   return toAttemptDecision(
       context, policy_.onAttemptFinished(request, attemptIndex, outcome, duration, isAnswered, now()));
@@ -114,6 +130,7 @@
   while (now() < subscription_.nextCallAt())
     co_await sched_.wait(pollScheduleChanged_, {subscription_.nextCallAt(), nullptr});
   subscription_.onCallSent(now());
+  listHistory_.add(ListEvent::callSent, now());
 }
 
 UpstreamEndpoint &Router::getOrAddEndpoint(const std::string &name) {
@@ -222,18 +239,22 @@
 
 void Router::onWatchMessage(MessageSource source) {
   subscription_.onMessage(source, now(), drawPollJitter());
+  listHistory_.add(source == MessageSource::currentAddress ? ListEvent::message : ListEvent::previousMessage,
+                   now());
   pollScheduleChanged_.notify();
 }
 
 void Router::onListCallEnded(CallEnd end, OtherCalls others, bool isLast) {
   if (merge_ != nullptr && isLast) merge_->onEndpointListFailed();
   subscription_.onClosed(end, others, now(), drawPollJitter());
+  listHistory_.add(listEventOf(end), now());
   pollScheduleChanged_.notify();
   runDueTasks();
 }
 
 void Router::onDiscoveryAddressChanged() {
   subscription_.onAddressChanged(now(), drawPollJitter());
+  listHistory_.add(ListEvent::addressChanged, now());
   pollScheduleChanged_.notify();
 }
 
@@ -304,9 +325,29 @@
     log_.info("endpoint list out of date: forwarding only to endpoints that answered recently");
   else if (since == 0 && before != 0)
     log_.info("endpoint list up to date again");
+  if ((since == 0) != (before == 0) || (since == kNoProofAccepted) != (before == kNoProofAccepted))
+    listHistory_.add(since == 0                  ? ListEvent::listRelied
+                     : since == kNoProofAccepted ? ListEvent::forwardingStopped
+                                                 : ListEvent::proofRequired,
+                     now());
   policy_.requireSuccessSince(since);
 }
 
+// An endpoint that turns an attempt away may be draining, which this instance should have known.
+void Router::logRejection(const RequestContext &context) {
+  const bool isTooSoon = rejectionLoggedAt_ != 0 && now() - rejectionLoggedAt_ < kRejectionLogInterval;
+  if (isTooSoon) return;
+  rejectionLoggedAt_ = now();
+  const auto &attempt = context.request_.attempts.back();
+  const auto provenAt = context.endpoint_->policyEndpoint->health.latestSuccessSentAt;
+  const auto sentAgo = (now() - attempt.sentAt) / kMillisecond;
+  log_.warning("endpoint turned an attempt away: it is full, or draining before the list says so",
+               {{"endpoint", context.endpoint_->name},
+                {"picked_ms", -sentAgo},
+                {"proven_ms", provenAt == 0 ? 0 : (provenAt - now()) / kMillisecond},
+                {"list_events_ms", listHistory_.describe(now())}});
+}
+
 void Router::runDueTasks() {
   updateListFreshness();
   auto due = policy_.runDueTasks(now());
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -10,6 +10,7 @@
 #include "policy/outlier_gossip.h"
 #include "policy/priority_selector.h"
 #include "policy/routing_policy.h"
+#include "router/list_history.h"
 
 #include <deque>
 #include <string>
@@ -118,6 +119,7 @@
   void updatePriorityShares();
   void applyGossip(const GossipMessage &message);
   void updateListFreshness();
+  void logRejection(const RequestContext &context);
   void runDueTasks();
   double drawPollJitter();
   double drawForPriorityGroup();
@@ -133,6 +135,8 @@
   RandomEngine gossipRandom_;
   DiscoverySubscription subscription_;
   RandomEngine subscriptionRandom_;
+  ListHistory listHistory_;
+  Nanoseconds rejectionLoggedAt_ = 0; // 0: never
   std::deque<UpstreamEndpoint> endpoints_;
   std::unordered_map<std::string, UpstreamEndpoint *> endpointsByName_;
   std::unordered_map<const Endpoint *, UpstreamEndpoint *> endpointsByPolicyEndpoint_;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -138,3 +138,40 @@
   };
   loop.run(body());
 }
+
+// Without it, nothing shows why an instance relied on an endpoint that was draining.
+TEST_CASE("an attempt that an endpoint turns away leaves no trace of what the list's state was") {
+  EventLoop loop;
+  Router router(loop.sched, smallDeployment(), 7, loop.log);
+  router.onRolloutState({1, 2, RolloutPhase::released, 1, 0});
+  router.onEndpointUpdates({{"s-1", "127.0.0.1:9", {.build = 1}}}, true);
+  router.onWatchMessage(MessageSource::currentAddress);
+  router.onDiscoveryAddressChanged();
+  auto body = [&]() -> sched::Task<> {
+    sched::CancellationToken notCancelled;
+    for (int i = 0; i < 2; ++i) { // the second rejection within a second is not logged
+      RequestContext context(0, 0, kSecond, false, loop.sched.now());
+      co_await router.nextAttempt(context, notCancelled);
+      router.onAttemptFinished(context, Outcome::rejected);
+    }
+  };
+  loop.run(body());
+  const auto log = loop.logOutput.str();
+  const auto line = log.find("turned an attempt away");
+  REQUIRE(line != std::string::npos);
+  CHECK(log.find("turned an attempt away", line + 1) == std::string::npos);
+  CHECK(log.find("endpoint=s-1", line) != std::string::npos);
+  CHECK(log.find("message 0, address changed 0", line) != std::string::npos);
+}
+
+TEST_CASE("the list's history forgets an old event while keep-alives repeat") {
+  ListHistory history;
+  history.add(ListEvent::addressChanged, kSecond);
+  for (int i = 2; i < 100; ++i) history.add(ListEvent::message, i * kSecond);
+  history.add(ListEvent::watchClosed, 100 * kSecond);
+  CHECK(history.describe(100 * kSecond) ==
+        "address changed -99000, message -98000, message -1000, watch closed 0");
+  for (int i = 0; i < 1000; ++i)
+    history.add(i % 2 == 0 ? ListEvent::callSent : ListEvent::callRejected, 101 * kSecond);
+  CHECK(history.describe(101 * kSecond).size() < 1000);
+}
