--- a/src/policy/discovery_subscription.cpp
+++ b/src/policy/discovery_subscription.cpp
@@ -115,10 +115,15 @@
   nextCallAt_ = now + offsetInWindow(isSharedByFleet_ ? kPollWindowAfterMove : 0, jitter);
 }
 
+bool DiscoverySubscription::hasMoveExpired(Nanoseconds now) const {
+  return addressChangedAt_ != 0 && now >= addressChangedAt_ + kListReliableAfterMove;
+}
+
 Nanoseconds DiscoverySubscription::proofRequiredSince(Nanoseconds now, EndpointSources sources) const {
   if (sources == EndpointSources::discoveryAndDns && lastMessageAt_ == 0) return 0;
-  if (addressChangedAt_ != 0 && now >= addressChangedAt_ + kListReliableAfterMove)
-    return std::max(now - kListReliableAfterMove, kMinProofTime);
+  // All changes up to then count as notified at once, so an endpoint would have to prove that it was not
+  // draining at that moment, with an attempt that must not be sent.
+  if (hasMoveExpired(now)) return kNoProofAccepted;
   // The age of the initial list is unknown: one of its endpoints may have been removed and added again, and
   // answer requests, while this instance counts as notified of the removal but not of the addition.
   if (hasFailedSinceStart_) return kNoProofAccepted;
--- a/src/policy/discovery_subscription.h
+++ b/src/policy/discovery_subscription.h
@@ -70,6 +70,9 @@
   // instance missed because the watch was silent, was closed or was never opened. An endpoint that has just
   // answered a request was not being removed. If the list has never been received, DNS records replace it.
   Nanoseconds proofRequiredSince(Nanoseconds now, EndpointSources sources = EndpointSources::discovery) const;
+  // Whether the instance counts as notified of every change because of an address change, and has received no
+  // message from the new address.
+  bool hasMoveExpired(Nanoseconds now) const;
 
 private:
   Nanoseconds offsetInWindow(Nanoseconds window, double jitter) const;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -320,7 +320,9 @@
   const Nanoseconds since = subscription_.proofRequiredSince(now(), sources);
   const Nanoseconds before = policy_.requiredSuccessSince();
   if (since == kNoProofAccepted && before != since)
-    log_.warning("no endpoint list yet and a poll failed: nothing is forwarded until one arrives");
+    log_.warning(subscription_.hasMoveExpired(now())
+                     ? "discovery's new address has sent no list: nothing is forwarded until one arrives"
+                     : "no endpoint list yet and a poll failed: nothing is forwarded until one arrives");
   else if (since != 0 && before == 0)
     log_.info("endpoint list out of date: forwarding only to endpoints that answered recently");
   else if (since == 0 && before != 0)
--- a/tests/discovery_subscription_test.cpp
+++ b/tests/discovery_subscription_test.cpp
@@ -301,3 +301,17 @@
                         0.5); // an unreachable discovery is not known to be down
   CHECK(subscription.proofRequiredSince(64 * kSecond) != 0);
 }
+
+// An answer proves nothing then: an endpoint that drained in the meantime still answers for a while, and its
+// drain counts as notified at once.
+TEST_CASE("a recent answer still proves an endpoint when an address change counts as notified") {
+  DiscoverySubscription subscription(fleetOf(30));
+  subscription.onCallSent(0);
+  subscription.onMessage(MessageSource::currentAddress, kSecond, 0.5);
+  subscription.onAddressChanged(2 * kSecond, 0.5);
+  CHECK(subscription.proofRequiredSince(5 * kSecond) == 0);
+  for (Nanoseconds now = 6 * kSecond; now < 30 * kSecond; now += kSecond)
+    CHECK(subscription.proofRequiredSince(now) == kNoProofAccepted);
+  subscription.onMessage(MessageSource::currentAddress, 30 * kSecond, 0.5);
+  CHECK(subscription.proofRequiredSince(30 * kSecond) == 0);
+}
