--- a/src/policy/discovery_subscription.cpp
+++ b/src/policy/discovery_subscription.cpp
@@ -111,7 +111,7 @@
 
 void DiscoverySubscription::onAddressChanged(Nanoseconds now, double jitter) {
   consecutiveFailures_ = 0;
-  addressChangedAt_ = now;
+  if (addressChangedAt_ == 0) addressChangedAt_ = now;
   nextCallAt_ = now + offsetInWindow(isSharedByFleet_ ? kPollWindowAfterMove : 0, jitter);
 }
 
--- a/src/policy/discovery_subscription.h
+++ b/src/policy/discovery_subscription.h
@@ -89,7 +89,8 @@
   Nanoseconds lastMessageAt_ = 0; // time of the latest message from the current address; 0: none yet
   // The latest time at which the list is known to have contained every change; kNoCallSent: no call sent yet.
   Nanoseconds listUpToDateAt_ = kNoCallSent;
-  Nanoseconds addressChangedAt_ = 0; // 0: a message was received since the latest address change
+  // The first address change since the latest message from a current address; 0: none.
+  Nanoseconds addressChangedAt_ = 0;
   bool hasFailedSinceStart_ = false; // a call has failed, and no message was received since the start
   int consecutiveFailures_ = 0;
 };
--- a/tests/discovery_subscription_test.cpp
+++ b/tests/discovery_subscription_test.cpp
@@ -302,6 +302,20 @@
   CHECK(subscription.proofRequiredSince(64 * kSecond) != 0);
 }
 
+TEST_CASE("a second address change puts off the time at which the first counts as notified") {
+  DiscoverySubscription subscription(fleetOf(30));
+  subscription.onCallSent(0);
+  subscription.onMessage(MessageSource::currentAddress, kSecond, 0.5);
+  subscription.onAddressChanged(2 * kSecond, 0.5);
+  subscription.onAddressChanged(4 * kSecond, 0.5);
+  CHECK(subscription.proofRequiredSince(5800 * kMillisecond) != 0);
+  subscription.onAddressChanged(7 * kSecond, 0.5);
+  CHECK(subscription.proofRequiredSince(7 * kSecond) == kNoProofAccepted);
+  subscription.onMessage(MessageSource::currentAddress, 8 * kSecond, 0.5);
+  subscription.onAddressChanged(10 * kSecond, 0.5);
+  CHECK(subscription.proofRequiredSince(13 * kSecond) == 0); // the third change was answered
+}
+
 // An answer proves nothing then: an endpoint that drained in the meantime still answers for a while, and its
 // drain counts as notified at once.
 TEST_CASE("a recent answer still proves an endpoint when an address change counts as notified") {
