--- a/src/control/discovery/endpoint_watch.cpp
+++ b/src/control/discovery/endpoint_watch.cpp
@@ -70,7 +70,8 @@
 net::Task<> EndpointWatch::runCall(CallNumber number, std::shared_ptr<Call> call) {
   auto *superseded = &call->superseded;
   http_client::Exchange exchange(sched_, budget_);
-  const auto target = "/catalog/members?stream=1&index=" + std::to_string(listIndex_);
+  call->requestedIndex = listIndex_;
+  const auto target = "/catalog/members?stream=1&index=" + std::to_string(call->requestedIndex);
   auto request = http::writeRequest("GET", target, "discovery");
   const net::Deadline pollDeadline{sched_.now() + kMaxWatchSilence, superseded};
   const auto poll = co_await exchange.sendRequest(call->address, std::move(request), pollDeadline);
@@ -94,7 +95,7 @@
   std::string message;
   while (!call.superseded.isCancelled() && http::takeLine(received, message)) {
     if (!message.empty()) {
-      const auto error = applyListUpdate(message);
+      const auto error = applyListUpdate(call, message);
       if (error != net::ErrorCode::none) return error;
     }
     call.hasReceivedMessage = true;
@@ -105,11 +106,18 @@
   return net::ErrorCode::none;
 }
 
-net::ErrorCode EndpointWatch::applyListUpdate(const std::string &message) {
+// A newer version may have arrived on another watch while this message was on its way. An index below the one
+// that the poll named is not outdated: discovery has lost its state and counts anew.
+bool EndpointWatch::isOutdated(const Call &call, const EndpointListMessage &list) const {
+  return list.index < listIndex_ && list.index >= call.requestedIndex;
+}
+
+net::ErrorCode EndpointWatch::applyListUpdate(const Call &call, const std::string &message) {
   std::string problem;
   if (const auto value = json::parse(message, &problem)) {
     const auto decoded = decodeEndpointList(*value, zones_, unixAtZero_);
     if (const auto *list = std::get_if<EndpointListMessage>(&decoded)) {
+      if (isOutdated(call, *list)) return net::ErrorCode::none;
       listIndex_ = list->index;
       router_.onEndpointUpdates(list->endpoints, list->isSnapshot);
       return net::ErrorCode::none;
--- a/src/control/discovery/endpoint_watch.h
+++ b/src/control/discovery/endpoint_watch.h
@@ -34,6 +34,7 @@
     sched::CancellationToken superseded; // cancelled when a newer call has received a message
     net::Address address;
     std::uint64_t addressVersion;
+    std::uint64_t requestedIndex = 0; // the version of the list that the poll named
     bool hasReceivedMessage = false;
   };
   using CallNumber = std::uint64_t;
@@ -41,7 +42,8 @@
   void startCall();
   net::Task<> runCall(CallNumber number, std::shared_ptr<Call> call);
   net::ErrorCode handleMessages(CallNumber number, Call &call, std::string &received);
-  net::ErrorCode applyListUpdate(const std::string &message);
+  net::ErrorCode applyListUpdate(const Call &call, const std::string &message);
+  bool isOutdated(const Call &call, const EndpointListMessage &list) const;
   void cancelOlderCalls(CallNumber number);
   bool isAtCurrentAddress(const Call &call) const { return call.addressVersion == addressVersion_; }
   OtherCalls otherCalls() const;
--- a/tests/endpoint_watch_test.cpp
+++ b/tests/endpoint_watch_test.cpp
@@ -75,6 +75,44 @@
   fixture.loop.run(body());
 }
 
+// The answer at the new address was made before the drain that the previous address tells meanwhile.
+TEST_CASE("an older list on a new watch makes a draining endpoint ready again") {
+  bool isPolled = false, isOlderSent = false;
+  ControlFixture *all = nullptr;
+  ControlFixture fixture([&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await readRequestLine(s, b);
+    const auto first = kChunkedResponseHead + chunk(watchEvent(42, "in_service"));
+    co_await s.write(first, {});
+    while (!isPolled) co_await all->loop.sched.sleep(kMillisecond);
+    const auto drain = chunk(watchEvent(44, "terminating"));
+    co_await s.write(drain, {});
+    co_await s.read(b, {});
+  });
+  all = &fixture;
+  ScriptedServer newServer(fixture.loop, [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await readRequestLine(s, b);
+    isPolled = true;
+    while (fixture.router.findEndpoint("s-1")->isReady) co_await fixture.loop.sched.sleep(kMillisecond);
+    const auto older = kChunkedResponseHead + chunk(watchEvent(43, "in_service"));
+    co_await s.write(older, {});
+    isOlderSent = true;
+    co_await fixture.loop.sched.sleep(50 * kMillisecond);
+    const auto newest = chunk(watchEvent(45, "in_service"));
+    co_await s.write(newest, {});
+    co_await s.read(b, {});
+  });
+  auto body = [&]() -> sched::Task<> {
+    fixture.loop.sched.spawn(fixture.watch.run());
+    while (fixture.router.findEndpoint("s-1") == nullptr) co_await fixture.loop.sched.sleep(kMillisecond);
+    fixture.watch.moveTo(*net::parseAddress(newServer.address()));
+    while (!isOlderSent) co_await fixture.loop.sched.sleep(kMillisecond);
+    co_await fixture.loop.sched.sleep(20 * kMillisecond);
+    CHECK(!fixture.router.findEndpoint("s-1")->isReady);
+    while (!fixture.router.findEndpoint("s-1")->isReady) co_await fixture.loop.sched.sleep(kMillisecond);
+  };
+  fixture.loop.run(body());
+}
+
 // The new call must be sent while the silent watch is still open, and well before the instance counts as
 // notified.
 TEST_CASE("a silent watch is replaced in time") {
