--- a/src/policy/discovery_subscription.cpp
+++ b/src/policy/discovery_subscription.cpp
@@ -26,9 +26,10 @@
 constexpr Nanoseconds kNotificationMargin = 500 * kMillisecond;
 constexpr Nanoseconds kListReliableFor = kCountsAsNotifiedAfter - kNotificationMargin;
 constexpr Nanoseconds kListReliableAfterMove = kCountsAsNotifiedAfterMove - kNotificationMargin;
-// How long an answer from an endpoint proves that the endpoint is not being removed. This is two seconds less
-// than kCountsAsNotifiedAfter, because a draining endpoint may go on serving requests for two seconds.
-constexpr Nanoseconds kProofLifetime = 4 * kSecond;
+// A draining endpoint may go on serving requests for this long.
+constexpr Nanoseconds kLongestServiceWhileDraining = 2 * kSecond;
+// How long an answer from an endpoint proves that no drain of the endpoint counts as notified.
+constexpr Nanoseconds kProofLifetime = kCountsAsNotifiedAfter - kLongestServiceWhileDraining;
 // 0 is not used as a proof time, because it means that the list is up to date.
 constexpr Nanoseconds kMinProofTime = 1;
 
@@ -75,6 +76,7 @@
   lastMessageAt_ = now;
   listUpToDateAt_ = now;
   addressChangedAt_ = 0;
+  downSince_ = 0;
   hasFailedSinceStart_ = false;
   const Nanoseconds window = isSharedByFleet_ ? kPollWindowAfterSilence : 0;
   nextCallAt_ = now + kKeepAliveInterval + kMaxKeepAliveDelay + offsetInWindow(window, jitter);
@@ -97,10 +99,12 @@
 void DiscoverySubscription::onClosed(CallEnd end, OtherCalls others, Nanoseconds now, double jitter) {
   const bool isWatchedElsewhere = others == OtherCalls::watching && hasRecentMessage(now);
   if (isWatchedElsewhere) return;
-  // A watch that received messages up to its end has missed no change, and while discovery is down it
-  // notifies no instance of changes.
-  const bool hasMissedNothing = end == CallEnd::watchClosed && hasRecentMessage(now);
-  if (hasMissedNothing || end == CallEnd::connectionRefused) listUpToDateAt_ = now;
+  if (end == CallEnd::connectionRefused) {
+    if (downSince_ == 0) downSince_ = now;
+    lastRefusedAt_ = now;
+  } else {
+    downSince_ = 0;
+  }
   if (lastMessageAt_ == 0) hasFailedSinceStart_ = true;
   // The unanswered call either ends, with a notification of its own, or is repeated after its timeout.
   if (others == OtherCalls::unanswered) return;
@@ -115,6 +119,14 @@
   nextCallAt_ = now + offsetInWindow(isSharedByFleet_ ? kPollWindowAfterMove : 0, jitter);
 }
 
+// While discovery is down it notifies no instance of changes, so only an endpoint that began to drain before
+// it went down must be ruled out.
+Nanoseconds DiscoverySubscription::oldestValidProof(Nanoseconds now) const {
+  const bool isDown = downSince_ != 0 && now < lastRefusedAt_ + kListReliableFor;
+  const Nanoseconds sliding = now - kProofLifetime;
+  return isDown ? std::min(sliding, downSince_ + kLongestServiceWhileDraining) : sliding;
+}
+
 bool DiscoverySubscription::hasMoveExpired(Nanoseconds now) const {
   return addressChangedAt_ != 0 && now >= addressChangedAt_ + kListReliableAfterMove;
 }
@@ -128,7 +140,7 @@
   // answer requests, while this instance counts as notified of the removal but not of the addition.
   if (hasFailedSinceStart_) return kNoProofAccepted;
   if (!hasSentCall() || now < listUpToDateAt_ + kListReliableFor) return 0;
-  return std::max(now - kProofLifetime, kMinProofTime);
+  return std::max(oldestValidProof(now), kMinProofTime);
 }
 
 } // namespace myrtlehead
--- a/src/policy/discovery_subscription.h
+++ b/src/policy/discovery_subscription.h
@@ -80,6 +80,7 @@
   static constexpr Nanoseconds kNoCallSent = std::numeric_limits<Nanoseconds>::max();
   bool hasSentCall() const { return listUpToDateAt_ != kNoCallSent; }
   bool hasRecentMessage(Nanoseconds now) const;
+  Nanoseconds oldestValidProof(Nanoseconds now) const;
 
   int ownIndex_;
   int instanceCount_;
@@ -91,6 +92,9 @@
   Nanoseconds listUpToDateAt_ = kNoCallSent;
   // The first address change since the latest message from a current address; 0: none.
   Nanoseconds addressChangedAt_ = 0;
+  // The first and the latest of the refused connections since another kind of end or a message; 0: none.
+  Nanoseconds downSince_ = 0;
+  Nanoseconds lastRefusedAt_ = 0;
   bool hasFailedSinceStart_ = false; // a call has failed, and no message was received since the start
   int consecutiveFailures_ = 0;
 };
