--- a/src/control/discovery/endpoint_watch.cpp
+++ b/src/control/discovery/endpoint_watch.cpp
@@ -9,10 +9,13 @@
 namespace {
 
 // Classifies the end of a call. `poll`: the result of sending the request. `cause`: why the call ended.
-CallEnd classifyEnd(const net::Failure &poll, net::ErrorCode cause, bool hasReceivedMessage) {
+// `isAnswered`: the watch was opened.
+CallEnd classifyEnd(const net::Failure &poll, net::ErrorCode cause, bool isAnswered,
+                    bool hasReceivedMessage) {
   if (poll.progress == net::SendProgress::notConnected)
     return poll.cause == net::ErrorCode::refused ? CallEnd::connectionRefused : CallEnd::unreachable;
   const bool isClosed = cause == net::ErrorCode::closedByPeer || cause == net::ErrorCode::connectionLost;
+  if (isAnswered && cause == net::ErrorCode::timedOut) return CallEnd::watchSilent;
   return hasReceivedMessage && isClosed ? CallEnd::watchClosed : CallEnd::rejected;
 }
 
@@ -73,21 +76,26 @@
   call->requestedIndex = listIndex_;
   const auto target = "/catalog/members?stream=1&index=" + std::to_string(call->requestedIndex);
   auto request = http::writeRequest("GET", target, "discovery");
-  const net::Deadline pollDeadline{sched_.now() + kMaxWatchSilence, superseded};
+  const net::Deadline pollDeadline{sched_.now() + kPollTimeout, superseded};
   const auto poll = co_await exchange.sendRequest(call->address, std::move(request), pollDeadline);
   auto cause = poll.cause;
   if (cause == net::ErrorCode::none && exchange.head().status != 200) cause = net::ErrorCode::refused;
+  const bool isAnswered = cause == net::ErrorCode::none;
+  Nanoseconds lastReadAt = sched_.now();
   while (cause == net::ErrorCode::none) {
     cause = handleMessages(number, *call, exchange.body);
     if (cause != net::ErrorCode::none) break;
     const net::Deadline messageDeadline{sched_.now() + kMaxWatchSilence, superseded};
     cause = co_await exchange.readMore(messageDeadline);
+    if (cause == net::ErrorCode::none) lastReadAt = sched_.now();
   }
   calls_.erase(number);
   if (superseded->isCancelled()) co_return;
   log_.info("watch on discovery ended",
             {{"cause", net::errorName(cause)}, {"status", exchange.head().status}});
-  router_.onListCallEnded(classifyEnd(poll, cause, call->hasReceivedMessage), otherCalls(), calls_.empty());
+  const auto end = classifyEnd(poll, cause, isAnswered, call->hasReceivedMessage);
+  const Nanoseconds silence = isAnswered ? sched_.now() - lastReadAt : 0;
+  router_.onListCallEnded({end, silence}, otherCalls(), calls_.empty());
 }
 
 // Handles and removes the complete lines at the start of `received`. An empty line is a keep-alive.
--- a/src/policy/discovery_subscription.cpp
+++ b/src/policy/discovery_subscription.cpp
@@ -33,6 +33,9 @@
 // 0 is not used as a proof time, because it means that the list is up to date.
 constexpr Nanoseconds kMinProofTime = 1;
 
+// A watch that was silent for less than this before its end is treated as if it had not been.
+constexpr Nanoseconds kToleratedSilence = 250 * kMillisecond;
+
 constexpr Nanoseconds kUnansweredCallTimeout = 3 * kSecond;
 
 // The first backoff grows with the size of the fleet, so that the fleet's polls do not overload
@@ -76,6 +79,7 @@
   lastMessageAt_ = now;
   listUpToDateAt_ = now;
   addressChangedAt_ = 0;
+  silentWatchEndedAt_ = 0;
   downSince_ = 0;
   hasFailedSinceStart_ = false;
   const Nanoseconds window = isSharedByFleet_ ? kPollWindowAfterSilence : 0;
@@ -96,9 +100,11 @@
 
 // The backoff grows with each failure and is jittered. Otherwise the fleet's own polls could keep discovery
 // too busy to answer any of them.
-void DiscoverySubscription::onClosed(CallEnd end, OtherCalls others, Nanoseconds now, double jitter) {
+void DiscoverySubscription::onClosed(CallEnding ending, OtherCalls others, Nanoseconds now, double jitter) {
+  const auto end = ending.end;
   const bool isWatchedElsewhere = others == OtherCalls::watching && hasRecentMessage(now);
   if (isWatchedElsewhere) return;
+  if (ending.silence > kToleratedSilence) silentWatchEndedAt_ = now;
   if (end == CallEnd::connectionRefused) {
     if (downSince_ == 0) downSince_ = now;
     lastRefusedAt_ = now;
@@ -106,6 +112,7 @@
     downSince_ = 0;
   }
   if (lastMessageAt_ == 0) hasFailedSinceStart_ = true;
+  if (end == CallEnd::watchSilent) return; // the call after a silence has been scheduled by the last message
   // The unanswered call either ends, with a notification of its own, or is repeated after its timeout.
   if (others == OtherCalls::unanswered) return;
   const auto backoff = static_cast<double>(backoffAfter(end));
@@ -119,12 +126,16 @@
   nextCallAt_ = now + offsetInWindow(isSharedByFleet_ ? kPollWindowAfterMove : 0, jitter);
 }
 
-// While discovery is down it notifies no instance of changes, so only an endpoint that began to drain before
-// it went down must be ruled out.
+// What a silent watch missed before its end counts as notified a fixed time after it fell silent, so an
+// answer must show that the endpoint had not begun to drain by then. While discovery is down it notifies no
+// instance of changes, so only an endpoint that began to drain before it went down must be ruled out.
 Nanoseconds DiscoverySubscription::oldestValidProof(Nanoseconds now) const {
   const bool isDown = downSince_ != 0 && now < lastRefusedAt_ + kListReliableFor;
   const Nanoseconds sliding = now - kProofLifetime;
-  return isDown ? std::min(sliding, downSince_ + kLongestServiceWhileDraining) : sliding;
+  const auto afterLatestChange = isDown ? std::min(sliding, downSince_ + kLongestServiceWhileDraining)
+                                        : sliding;
+  if (silentWatchEndedAt_ == 0) return afterLatestChange;
+  return std::max(afterLatestChange, silentWatchEndedAt_ + kLongestServiceWhileDraining);
 }
 
 bool DiscoverySubscription::hasMoveExpired(Nanoseconds now) const {
--- a/src/policy/discovery_subscription.h
+++ b/src/policy/discovery_subscription.h
@@ -18,15 +18,28 @@
 // Value of proofRequiredSince(): requests may not be forwarded to any endpoint.
 constexpr Nanoseconds kNoProofAccepted = std::numeric_limits<Nanoseconds>::max();
 
-// A poll without an answer, or a watch without a message, is closed after this time.
-constexpr Nanoseconds kMaxWatchSilence = 5 * kSecond;
+// A poll without an answer is closed after this time.
+constexpr Nanoseconds kPollTimeout = 5 * kSecond;
+// An answered call without a message is closed after this time. Discovery sends a keep-alive every two
+// seconds. While a silent watch stays open, what it misses counts as notified early, so nothing can prove an
+// endpoint.
+constexpr Nanoseconds kMaxWatchSilence = 3 * kSecond;
 
 // How a poll or a watch ended.
 enum class CallEnd {
   rejected,          // discovery returned an error, closed the poll, or did not answer in time
   unreachable,       // no connection could be established
   connectionRefused, // the host at discovery's address refused the connection: discovery is down
-  watchClosed        // discovery closed a watch that had sent messages, as it does when it shuts down
+  watchClosed,       // discovery closed a watch that had sent messages, as it does when it shuts down
+  watchSilent        // an answered call was closed after kMaxWatchSilence
+};
+
+struct CallEnding {
+  // NOLINTNEXTLINE(google-explicit-constructor): most kinds of end have no silence
+  CallEnding(CallEnd callEnd, Nanoseconds silentFor = 0) : end(callEnd), silence(silentFor) {}
+  CallEnd end;
+  Nanoseconds
+      silence; // for how long an answered call had sent nothing before its end; 0: it was not answered
 };
 
 // Other calls open at discovery's current address when a poll or a watch ends.
@@ -55,7 +68,7 @@
   // A watch event or a keep-alive was received. The next call is due if no further message arrives in time.
   // Messages from a previous address are ignored, since that server may be out of date.
   void onMessage(MessageSource source, Nanoseconds now, double jitter);
-  void onClosed(CallEnd end, OtherCalls others, Nanoseconds now, double jitter);
+  void onClosed(CallEnding ending, OtherCalls others, Nanoseconds now, double jitter);
   // Discovery has a new address.
   void onAddressChanged(Nanoseconds now, double jitter);
 
@@ -92,6 +105,9 @@
   Nanoseconds listUpToDateAt_ = kNoCallSent;
   // The first address change since the latest message from a current address; 0: none.
   Nanoseconds addressChangedAt_ = 0;
+  // When a watch last ended that had been silent before, so that it may have missed a change; 0: none since
+  // the latest message.
+  Nanoseconds silentWatchEndedAt_ = 0;
   // The first and the latest of the refused connections since another kind of end or a message; 0: none.
   Nanoseconds downSince_ = 0;
   Nanoseconds lastRefusedAt_ = 0;
--- a/src/router/list_history.cpp
+++ b/src/router/list_history.cpp
@@ -20,6 +20,8 @@
     return "connection refused";
   case ListEvent::watchClosed:
     return "watch closed";
+  case ListEvent::watchSilent:
+    return "watch silent";
   case ListEvent::addressChanged:
     return "address changed";
   case ListEvent::proofRequired:
--- a/src/router/list_history.h
+++ b/src/router/list_history.h
@@ -20,6 +20,7 @@
   callUnreachable,   // see CallEnd
   callRefused,       // see CallEnd::connectionRefused
   watchClosed,       // see CallEnd
+  watchSilent,       // see CallEnd
   addressChanged,    // discovery has a new address
   proofRequired,     // from now on, only endpoints that answered recently are used
   forwardingStopped, // from now on, no endpoint is used
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -25,6 +25,8 @@
     return ListEvent::callRefused;
   case CallEnd::watchClosed:
     return ListEvent::watchClosed;
+  case CallEnd::watchSilent:
+    return ListEvent::watchSilent;
   }
   return ListEvent::none;
 }
@@ -244,10 +246,10 @@
   pollScheduleChanged_.notify();
 }
 
-void Router::onListCallEnded(CallEnd end, OtherCalls others, bool isLast) {
+void Router::onListCallEnded(CallEnding ending, OtherCalls others, bool isLast) {
   if (merge_ != nullptr && isLast) merge_->onEndpointListFailed();
-  subscription_.onClosed(end, others, now(), drawPollJitter());
-  listHistory_.add(listEventOf(end), now());
+  subscription_.onClosed(ending, others, now(), drawPollJitter());
+  listHistory_.add(listEventOf(ending.end), now());
   pollScheduleChanged_.notify();
   runDueTasks();
 }
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -87,7 +87,7 @@
   // Reports any message of an open watch.
   void onWatchMessage(MessageSource source);
   // Reports that a poll or a watch has ended. `isLast` is true if no other poll or watch is open.
-  void onListCallEnded(CallEnd end, OtherCalls others, bool isLast);
+  void onListCallEnded(CallEnding ending, OtherCalls others, bool isLast);
   void onDiscoveryAddressChanged();
   UpstreamEndpoint *findEndpoint(const std::string &name);
 
--- a/tests/discovery_subscription_test.cpp
+++ b/tests/discovery_subscription_test.cpp
@@ -308,6 +308,22 @@
   CHECK(subscription.proofRequiredSince(64 * kSecond) != 0);
 }
 
+// Changes that the watch missed count as notified six seconds after it fell silent, at 7 s.
+TEST_CASE("an answer from before the end of a silent watch proves an endpoint") {
+  for (const auto end : {CallEnd::watchSilent, CallEnd::watchClosed}) {
+    DiscoverySubscription subscription(fleetOf(3));
+    subscription.onCallSent(0);
+    subscription.onMessage(MessageSource::currentAddress, kSecond, 0.5);
+    const Nanoseconds due = subscription.nextCallAt();
+    subscription.onClosed({end, 3 * kSecond}, OtherCalls::none, 4 * kSecond, 0.5);
+    if (end == CallEnd::watchSilent) CHECK(subscription.nextCallAt() == due);
+    CHECK(subscription.proofRequiredSince(6 * kSecond) == 0);
+    CHECK(subscription.proofRequiredSince(7 * kSecond) == 6 * kSecond);
+    CHECK(subscription.proofRequiredSince(9 * kSecond) == 6 * kSecond);
+    CHECK(subscription.proofRequiredSince(12 * kSecond) == 8 * kSecond);
+  }
+}
+
 TEST_CASE("a second address change puts off the time at which the first counts as notified") {
   DiscoverySubscription subscription(fleetOf(30));
   subscription.onCallSent(0);
