--- a/src/policy/discovery_subscription.cpp
+++ b/src/policy/discovery_subscription.cpp
@@ -33,9 +33,6 @@
 // 0 is not used as a proof time, because it means that the list is up to date.
 constexpr Nanoseconds kMinProofTime = 1;
 
-// A watch that was silent for less than this before its end is treated as if it had not been.
-constexpr Nanoseconds kToleratedSilence = 250 * kMillisecond;
-
 constexpr Nanoseconds kUnansweredCallTimeout = 3 * kSecond;
 
 // The first backoff grows with the size of the fleet, so that the fleet's polls do not overload
@@ -79,7 +76,7 @@
   lastMessageAt_ = now;
   listUpToDateAt_ = now;
   addressChangedAt_ = 0;
-  silentWatchEndedAt_ = 0;
+  hasMissedChanges_ = false;
   downSince_ = 0;
   hasFailedSinceStart_ = false;
   const Nanoseconds window = isSharedByFleet_ ? kPollWindowAfterSilence : 0;
@@ -104,7 +101,7 @@
   const auto end = ending.end;
   const bool isWatchedElsewhere = others == OtherCalls::watching && hasRecentMessage(now);
   if (isWatchedElsewhere) return;
-  if (ending.silence > kToleratedSilence) silentWatchEndedAt_ = now;
+  if (end == CallEnd::watchSilent || ending.silence > kKeepAliveInterval) hasMissedChanges_ = true;
   if (end == CallEnd::connectionRefused) {
     if (downSince_ == 0) downSince_ = now;
     lastRefusedAt_ = now;
@@ -126,16 +123,12 @@
   nextCallAt_ = now + offsetInWindow(isSharedByFleet_ ? kPollWindowAfterMove : 0, jitter);
 }
 
-// What a silent watch missed before its end counts as notified a fixed time after it fell silent, so an
-// answer must show that the endpoint had not begun to drain by then. While discovery is down it notifies no
-// instance of changes, so only an endpoint that began to drain before it went down must be ruled out.
+// While discovery is down it notifies no instance of changes, so only an endpoint that began to drain before
+// it went down must be ruled out.
 Nanoseconds DiscoverySubscription::oldestValidProof(Nanoseconds now) const {
   const bool isDown = downSince_ != 0 && now < lastRefusedAt_ + kListReliableFor;
   const Nanoseconds sliding = now - kProofLifetime;
-  const auto afterLatestChange = isDown ? std::min(sliding, downSince_ + kLongestServiceWhileDraining)
-                                        : sliding;
-  if (silentWatchEndedAt_ == 0) return afterLatestChange;
-  return std::max(afterLatestChange, silentWatchEndedAt_ + kLongestServiceWhileDraining);
+  return isDown ? std::min(sliding, downSince_ + kLongestServiceWhileDraining) : sliding;
 }
 
 bool DiscoverySubscription::hasMoveExpired(Nanoseconds now) const {
@@ -151,6 +144,8 @@
   // answer requests, while this instance counts as notified of the removal but not of the addition.
   if (hasFailedSinceStart_) return kNoProofAccepted;
   if (!hasSentCall() || now < listUpToDateAt_ + kListReliableFor) return 0;
+  // What a silent watch misses, until another one is open, counts as notified from now on.
+  if (hasMissedChanges_) return kNoProofAccepted;
   return std::max(oldestValidProof(now), kMinProofTime);
 }
 
--- a/src/policy/discovery_subscription.h
+++ b/src/policy/discovery_subscription.h
@@ -105,9 +105,7 @@
   Nanoseconds listUpToDateAt_ = kNoCallSent;
   // The first address change since the latest message from a current address; 0: none.
   Nanoseconds addressChangedAt_ = 0;
-  // When a watch last ended that had been silent before, so that it may have missed a change; 0: none since
-  // the latest message.
-  Nanoseconds silentWatchEndedAt_ = 0;
+  bool hasMissedChanges_ = false; // a watch fell silent, and no message was received since
   // The first and the latest of the refused connections since another kind of end or a message; 0: none.
   Nanoseconds downSince_ = 0;
   Nanoseconds lastRefusedAt_ = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -324,7 +324,7 @@
   if (since == kNoProofAccepted && before != since)
     log_.warning(subscription_.hasMoveExpired(now())
                      ? "discovery's new address has sent no list: nothing is forwarded until one arrives"
-                     : "no endpoint list yet and a poll failed: nothing is forwarded until one arrives");
+                     : "the endpoint list may lack changes: nothing is forwarded until one arrives");
   else if (since != 0 && before == 0)
     log_.info("endpoint list out of date: forwarding only to endpoints that answered recently");
   else if (since == 0 && before != 0)
