--- a/src/policy/discovery_subscription.h
+++ b/src/policy/discovery_subscription.h
@@ -35,7 +35,7 @@
 };
 
 struct CallEnding {
-  // NOLINTNEXTLINE(google-explicit-constructor): most kinds of end have no silence
+  // Implicit, because most kinds of end have no silence.
   CallEnding(CallEnd callEnd, Nanoseconds silentFor = 0) : end(callEnd), silence(silentFor) {}
   CallEnd end;
   Nanoseconds
