--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,7 +4,7 @@
 set -u
 case_folder=$(cd "$(dirname "$0")" && pwd)
 cd "$case_folder/../.." || exit 2
-program=build/review-2/second_start
+program=build/review-2/large_requests
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
 if [ -z "$run" ] || [ ! -x "$program" ] || [ ! -x build/myrtlehead ]; then
   echo "could not run: build the project and review/build-2.sh first"
