--- a/src/base/net/buffer.h
+++ b/src/base/net/buffer.h
@@ -35,12 +35,20 @@
     if (bytes_.size() - end_ < minBytes) bytes_.resize(std::max(end_ + minBytes, 2 * bytes_.size()));
     return {bytes_.data() + end_, bytes_.size() - end_};
   }
+  // Makes the capacity at least `capacity` bytes, and exactly that if the buffer has to grow.
+  void reserve(std::size_t capacity) {
+    if (bytes_.size() < capacity) bytes_.resize(capacity);
+  }
   // Appends the first `count` bytes of the prepared space to the content.
   void commit(std::size_t count) { end_ += count; }
 
-  // Frees the memory if the buffer is empty and its capacity exceeds `maxBytes`, as after a large message.
+  // Reduces the capacity if it exceeds `maxBytes` and the content does not, as after a large message.
   void shrink(std::size_t maxBytes) {
-    if (empty() && bytes_.size() > maxBytes) std::vector<char>().swap(bytes_);
+    const auto content = view();
+    if (bytes_.size() <= maxBytes || content.size() > maxBytes) return;
+    std::vector<char>(content.begin(), content.end()).swap(bytes_);
+    begin_ = 0;
+    end_ = bytes_.size();
   }
 
 private:
--- a/src/base/net/memory_budget.h
+++ b/src/base/net/memory_budget.h
@@ -1,5 +1,5 @@
-// A budget of memory for large messages. A large message reserves its size before the rest of it is read, so
-// that many concurrent messages cannot exhaust the memory of the process.
+// A budget of memory for large messages. A large message reserves memory before it is read into it, so that
+// many concurrent messages cannot exhaust the memory of the process.
 #pragma once
 
 #include "base/sched/scheduler.h"
@@ -14,11 +14,12 @@
   std::size_t capacity() const { return capacity_; }   // bytes
   std::size_t available() const { return available_; } // bytes
 
+  sched::Event released; // notified after each release of memory
+
 private:
   friend class MemoryReservation;
   std::size_t available_;
   std::size_t capacity_;
-  sched::Event released_;
 };
 
 // The bytes that one message has reserved in a budget. The destructor releases them.
@@ -42,21 +43,29 @@
   static sched::Task<Result> acquire(sched::Scheduler &scheduler, MemoryBudget &budget, std::size_t bytes,
                                      sched::Deadline deadline, MemoryReservation &out) {
     if (bytes > budget.capacity_) co_return Result::unavailable;
-    while (budget.available_ < bytes) {
-      const auto woken = co_await scheduler.wait(budget.released_, deadline);
+    while (!out.tryAcquire(budget, bytes)) {
+      const auto woken = co_await scheduler.wait(budget.released, deadline);
       if (woken != sched::WakeReason::notified) co_return Result::unavailable;
     }
-    budget.available_ -= bytes;
-    out.release();
-    out.budget_ = &budget;
-    out.bytes_ = bytes;
     co_return Result::acquired;
   }
-  void release() {
-    if (bytes_ == 0) return;
-    budget_->available_ += std::exchange(bytes_, 0);
-    budget_->released_.notify();
+  // Reserves `bytes` bytes in place of what is reserved now. Returns false if they are not available.
+  bool tryAcquire(MemoryBudget &budget, std::size_t bytes) {
+    if (budget.available_ < bytes) return false;
+    budget.available_ -= bytes;
+    release();
+    budget_ = &budget;
+    bytes_ = bytes;
+    return true;
+  }
+  // Releases what exceeds `bytes` bytes.
+  void shrink(std::size_t bytes) {
+    if (bytes_ <= bytes) return;
+    budget_->available_ += bytes_ - bytes;
+    bytes_ = bytes;
+    budget_->released.notify();
   }
+  void release() { shrink(0); }
   bool isAcquired() const { return bytes_ > 0; }
 
 private:
--- a/src/base/net/socket.h
+++ b/src/base/net/socket.h
@@ -56,6 +56,8 @@
   ErrorCode tryRead(Buffer &into);
   // Writes without waiting. Returns true if all bytes were written.
   bool tryWrite(std::string_view bytes);
+  // Whether data, or the end of the stream, may have arrived that is not read yet.
+  bool mayHaveUnreadData() const { return isReadReady_; }
   // Returns true if the peer has not closed the connection and there is nothing to read.
   bool isOpenAndIdle() const;
   // Cancels `token` as soon as the peer has closed its end, at once if it already has. The token must outlive
--- a/src/downstream/client_session.cpp
+++ b/src/downstream/client_session.cpp
@@ -10,19 +10,13 @@
 namespace {
 
 constexpr Nanoseconds kStartupTimeout = 2 * kSecond; // for the complete startup message
-constexpr Nanoseconds kMessageTimeout = 2 * kSecond; // for the rest of a partly received message
-// For the rest of a connection's first message, counted from when the connection was opened.
-constexpr Nanoseconds kFirstMessageTimeout = 5 * kSecond / 2;
-constexpr Nanoseconds kClosingTime = kSecond; // for the client to see the end of the connection
+constexpr Nanoseconds kClosingTime = kSecond;        // for the client to see the end of the connection
 constexpr Nanoseconds kMaxThrottle = kSecond / 10;
-// Messages up to this size need no memory reservation, and buffers up to this size are kept.
-constexpr std::size_t kSmallMessageBytes = 16 * 1024;
 constexpr unsigned kMessagesPerTurn = 32; // after these, the scheduler may resume other sessions
 // The delay between turns grows by one millisecond for each of these steps.
 constexpr unsigned kInvalidCommandsPerThrottleStep = 32;
 constexpr int kMaxReadsWhileClosing = 16;
 constexpr int kMaxEncryptionRequests = 2;
-constexpr Nanoseconds kNoMessageStarted = 0; // in place of a message's deadline
 
 } // namespace
 
@@ -54,8 +48,13 @@
 }
 
 net::Task<> ClientSession::failConnection(std::string_view message) {
+  constexpr std::string_view kProtocolViolation = "08P01";
   listener_.countClientError(message);
-  pg::addError(replies_.tail(), {"FATAL", "08P01", message});
+  co_await closeWithError(kProtocolViolation, message);
+}
+
+net::Task<> ClientSession::closeWithError(std::string_view code, std::string_view message) {
+  pg::addError(replies_.tail(), {"FATAL", code, message});
   const auto client = co_await drain();
   if (client == ClientState::connected) co_await closeGracefully();
 }
@@ -114,10 +113,8 @@
   moveToList(ReclaimList::none);
   if (started == SessionFlow::end) co_return;
   if (!isServed) {
-    pg::addError(replies_.tail(),
-                 {"FATAL", "53300", "too many client connections; the request can be retried safely"});
-    const auto client = co_await flush();
-    if (client == ClientState::connected) co_await closeGracefully();
+    co_await closeWithError(kRetriableSqlState,
+                            "too many client connections; the request can be retried safely");
     co_return;
   }
   pg::Message message;
@@ -151,6 +148,8 @@
   co_return ClientState::connected;
 }
 
+bool ClientSession::isThrottled() const { return invalidCommands_ >= kInvalidCommandsPerThrottleStep; }
+
 // Delays the session, the longer the more invalid commands the client has sent, so that a client that keeps
 // sending invalid commands does not slow down the others.
 net::Task<> ClientSession::throttle() {
@@ -167,7 +166,7 @@
     const auto parsed = pg::parseStartup(buffer_.view(), startup);
     if (parsed == pg::ParseStatus::incomplete) {
       auto error = co_await socket_->read(buffer_, deadline);
-      if (error == ErrorCode::cancelled) error = co_await readFinalMessage(kNoMessageStarted);
+      if (error == ErrorCode::cancelled) error = co_await readFinalMessage({});
       const bool isClosed = closeToken_.isCancelled() && error == ErrorCode::timedOut;
       if (isClosed) co_await closeAtShutdown();
       if (error != ErrorCode::none) co_return SessionFlow::end;
@@ -198,87 +197,4 @@
   }
 }
 
-// Reads until a whole message is at the front of the buffer, to which `out` refers. The connection may be
-// closed between messages.
-net::Task<SessionFlow> ClientSession::nextMessage(pg::Message &out) {
-  for (Nanoseconds messageDeadline = kNoMessageStarted;;) {
-    const auto parsed = pg::parseMessage(buffer_.view(), out);
-    if (parsed == pg::ParseStatus::complete) co_return SessionFlow::proceed;
-    if (parsed == pg::ParseStatus::malformed) {
-      co_await failConnection("message length is invalid or above the limit");
-      co_return SessionFlow::end;
-    }
-    const auto client = co_await flush();
-    if (client == ClientState::gone) co_return SessionFlow::end;
-    if (invalidCommands_ >= kInvalidCommandsPerThrottleStep) co_await throttle();
-    // Requests that are in flight when the connection is to be closed are answered first.
-    if (closeToken_.isCancelled()) {
-      const auto drained = co_await drain();
-      if (drained == ClientState::gone) co_return SessionFlow::end;
-    }
-    const bool isBetweenMessages = buffer_.empty();
-    if (!isBetweenMessages) messageDeadline = deadlineOfPartialMessage(messageDeadline);
-    // A connection without a valid statement may be closed for a new one, as before its startup message.
-    const bool isIdle = isBetweenMessages && requests_.empty() && !isWriting_;
-    moveToList(isIdle ? ReclaimList::idle : hasBeenUsed() ? ReclaimList::none : ReclaimList::unused);
-    if (!isBetweenMessages) {
-      const auto reserved = co_await reserveMessageMemory(messageDeadline);
-      if (reserved == SessionFlow::end) co_return SessionFlow::end;
-    }
-    const net::Deadline deadline{isBetweenMessages ? sched::kNever : messageDeadline, &closeToken_};
-    isAwaitingMessage_ = isBetweenMessages;
-    auto error = ErrorCode::cancelled;
-    if (!closeToken_.isCancelled()) error = co_await socket_->read(buffer_, deadline);
-    isAwaitingMessage_ = false;
-    moveToList(ReclaimList::none);
-    if (error == ErrorCode::cancelled) error = co_await readFinalMessage(messageDeadline);
-    const bool isTimedOut = error == ErrorCode::timedOut;
-    const bool isClosed = isTimedOut && closeToken_.isCancelled();
-    if (isClosed) co_await closeAtShutdown();
-    if (isTimedOut && !isClosed) co_await failConnection("timed out waiting for the rest of a message");
-    if (error != ErrorCode::none) co_return SessionFlow::end;
-    lastReadAt_ = listener_.sched_.now();
-  }
-}
-
-// Returns the deadline for the rest of a partly received message. `current` is the deadline set when its
-// first part arrived, or kNoMessageStarted.
-Nanoseconds ClientSession::deadlineOfPartialMessage(Nanoseconds current) const {
-  auto deadline = current;
-  if (deadline == kNoMessageStarted)
-    deadline = hasBeenUsed() ? listener_.sched_.now() + kMessageTimeout : openedAt_ + kFirstMessageTimeout;
-  const auto &shutdown = listener_.shutdown_;
-  return shutdown.isInProgress() ? std::min(deadline, shutdown.partialMessageDeadline()) : deadline;
-}
-
-// Reads once more after closeToken_ was cancelled. It waits for the rest of a partly received message and,
-// during a shutdown, for the first message of a new connection. Otherwise it reads once without waiting, for
-// a request that was sent before the client could see the end of the connection. It does not read a second
-// time, because a client may always have another request. Returns timedOut if nothing is left to read.
-net::Task<ErrorCode> ClientSession::readFinalMessage(Nanoseconds messageDeadline) {
-  const bool hasPartialMessage = messageDeadline > kNoMessageStarted;
-  const bool mayWait = hasBeenUsed() ? hasPartialMessage : listener_.shutdown_.isInProgress();
-  if (!mayWait) {
-    if (closeRequest_ == CloseRequest::finalReadDone) co_return ErrorCode::timedOut;
-    closeRequest_ = CloseRequest::finalReadDone;
-    co_return socket_->tryRead(buffer_);
-  }
-  const net::Deadline deadline{
-      hasPartialMessage ? messageDeadline : listener_.shutdown_.partialMessageDeadline(), nullptr};
-  const auto error = co_await socket_->read(buffer_, deadline);
-  co_return error;
-}
-
-// Reserves memory for the message at the front of the buffer if the message is large.
-net::Task<SessionFlow> ClientSession::reserveMessageMemory(Nanoseconds messageDeadline) {
-  const auto size = pg::announcedSize(buffer_.view());
-  if (size <= kSmallMessageBytes || memory_.isAcquired()) co_return SessionFlow::proceed;
-  const net::Deadline deadline{messageDeadline, hasBeenUsed() ? &clientGone_ : &closeToken_};
-  const auto reserved = co_await net::MemoryReservation::acquire(listener_.sched_, listener_.messageMemory_,
-                                                                 size, deadline, memory_);
-  if (reserved != net::MemoryReservation::Result::acquired) co_return SessionFlow::end;
-  buffer_.prepare(size + kSmallMessageBytes - buffer_.view().size()); // one allocation for the whole message
-  co_return SessionFlow::proceed;
-}
-
 } // namespace myrtlehead::downstream
--- a/src/downstream/client_session.h
+++ b/src/downstream/client_session.h
@@ -2,19 +2,26 @@
 // is served by a coroutine of its own, so that a slow request does not delay those behind it. Answers are
 // written in the order of the commands.
 //
-// client_session.cpp: the connection's lifecycle, reading and closing. client_session_messages.cpp: the
-// answer to each message. client_session_requests.cpp: requests in flight, and writing.
+// client_session.cpp: the connection's lifecycle and closing. client_session_reading.cpp: reading messages.
+// client_session_messages.cpp: the answer to each message. client_session_requests.cpp: requests in flight,
+// and writing.
 #pragma once
 
 #include "downstream/listener.h"
 #include "downstream/reply_queue.h"
 #include "format/pg/message.h"
 #include "format/pg/statement.h"
+#include "policy/message_memory.h"
 
 #include <optional>
 
 namespace myrtlehead::downstream {
 
+using message_memory::kSmallMessageBytes;
+
+// The SQLSTATE of an error after which a client can retry its request safely: it was sent to no endpoint.
+constexpr std::string_view kRetriableSqlState = "53300";
+
 // Whether the client can still be answered. It is gone if it has closed its end or does not read its answers.
 enum class ClientState { connected, gone };
 
@@ -37,6 +44,12 @@
   void closeIdle();
   // Closes the connection, at a shutdown, once nothing is in flight. Requests that have arrived are answered.
   void closeWhenAnswered();
+  // From when on the memory for the message being read may be reclaimed for another one; sched::kNever if it
+  // may not.
+  Nanoseconds memoryReclaimableAt() const;
+  // Releases the memory of the message that has arrived in part. The rest of it is read and dropped, and the
+  // message is answered with an error that allows a retry.
+  void discardPartialMessage();
   // When the session was added to the list that contains it now.
   Nanoseconds listedSince() const { return listedSince_; }
   // Whether a request or another valid statement has been received on the connection.
@@ -61,6 +74,17 @@
   // Whether ReadyForQuery follows an error at once, or is sent in answer to Sync.
   enum class ReadyForQuery { atOnce, afterSync };
   enum class AdmissionResult { admitted, rejected, clientGone };
+  enum class ReadState {
+    notReading,
+    awaitingMessage,  // no byte of the next message has arrived
+    receivingMessage, // a part of the message has arrived
+    awaitingMemory    // a part of the message has arrived, and there is no memory for the rest
+  };
+  // A message of which the bytes that arrive are dropped, because there is no memory for it.
+  struct DiscardedMessage {
+    char type = 0;
+    std::size_t bytesLeft = 0; // that have not arrived yet
+  };
 
   // A request in flight.
   struct Request {
@@ -77,22 +101,33 @@
   };
   using Requests = std::list<Request>;
 
-  // The connection's lifecycle, reading and closing.
+  // The connection's lifecycle and closing.
   void moveToList(ReclaimList list);
   std::list<ClientSession *> &sessionsIn(ReclaimList list);
   void requestCloseNow();
   net::Task<SessionFlow> startUp(Nanoseconds within);
   net::Task<> closeGracefully();
   net::Task<> closeAtShutdown();
-  net::Task<net::ErrorCode> readFinalMessage(Nanoseconds messageDeadline);
-  net::Task<SessionFlow> nextMessage(pg::Message &out);
-  Nanoseconds deadlineOfPartialMessage(Nanoseconds current) const;
   net::Task<ClientState> awaitUsageWithinLimits();
+  bool isThrottled() const;
   net::Task<> throttle();
-  net::Task<SessionFlow> reserveMessageMemory(Nanoseconds messageDeadline);
   // Answers with a fatal error and closes the connection.
+  net::Task<> closeWithError(std::string_view code, std::string_view message);
+  // As closeWithError(), for an error of the client.
   net::Task<> failConnection(std::string_view message);
 
+  // Reading messages. The deadline is that of the rest of a message of which a part has arrived.
+  net::Task<SessionFlow> nextMessage(pg::Message &out);
+  pg::ParseStatus parseNextMessage(pg::Message &out);
+  bool hasPartialMessage() const { return !buffer_.empty() || discarded_; }
+  net::Task<ClientState> writeAnswersBeforeRead();
+  void listWhileReading();
+  net::Task<net::ErrorCode> readMore(std::optional<Nanoseconds> deadline);
+  net::Task<net::ErrorCode> readFinalMessage(std::optional<Nanoseconds> deadline);
+  Nanoseconds deadlineOfPartialMessage(std::optional<Nanoseconds> current) const;
+  net::Task<> reserveMessageMemory(std::optional<Nanoseconds> messageDeadline);
+  net::Task<> closeUnread();
+
   // The answer to each message.
   net::Task<SessionFlow> handleMessage(pg::Message message);
   bool isOpenOnThisConnection(std::string_view id) const;
@@ -131,14 +166,17 @@
   Nanoseconds listedSince_;
   Nanoseconds lastReadAt_ = 0; // when the latest bytes were read
   Phase phase_ = Phase::unused;
-  bool isAwaitingMessage_ = false; // reading, and no byte of the next message has arrived
-  unsigned invalidCommands_ = 0;   // commands answered with an error by this session
-  net::MemoryReservation memory_;  // reserved for the message being read if it is large
+  ReadState readState_ = ReadState::notReading;
+  unsigned invalidCommands_ = 0;              // commands answered with an error by this session
+  net::MemoryReservation memory_;             // reserved for the message being read if it is large
+  Nanoseconds memoryHeldSince_ = 0;           // valid if memory_ is acquired
+  std::optional<DiscardedMessage> discarded_; // the message being read, if it is discarded
   ReplyQueue replies_;
   const WriteBatch *beingWritten_ = nullptr;
-  bool isWriting_ = false;      // a coroutine is in flush()
-  sched::Event answerProgress_; // an answer has been completed or written
-  Requests requests_;           // in flight, in the order of their commands
+  bool isWriting_ = false;       // a coroutine is in flush()
+  sched::Event answerProgress_;  // an answer has been completed or written
+  std::size_t requestBytes_ = 0; // of the texts of the requests in flight
+  Requests requests_;            // in flight, in the order of their commands
   // Declared last, with requests_, to be destroyed first: the requests' coroutines use the other members.
   Requests finishedRequests_;
 };
--- a/src/downstream/client_session_messages.cpp
+++ b/src/downstream/client_session_messages.cpp
@@ -2,6 +2,7 @@
 #include "downstream/client_session.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace myrtlehead::downstream {
 
@@ -15,6 +16,7 @@
 
 net::Task<SessionFlow> ClientSession::handleMessage(pg::Message message) {
   constexpr std::string_view kExtendedQueryTypes = "PBDECHF";
+  const bool isDiscarded = std::exchange(discarded_, std::nullopt).has_value();
   if (isSkippingToSync_ && message.type != 'S' && message.type != 'X') co_return SessionFlow::proceed;
   if (kExtendedQueryTypes.find(message.type) != std::string_view::npos) {
     isSkippingToSync_ = message.type != 'F'; // a function call is answered without Sync
@@ -24,6 +26,13 @@
   }
   switch (message.type) {
   case 'Q': {
+    if (isDiscarded) {
+      auto &out = replies_.tail();
+      pg::addError(
+          out, {"ERROR", kRetriableSqlState, "too many large requests; the request can be retried safely"});
+      pg::addReadyForQuery(out);
+      co_return SessionFlow::proceed;
+    }
     std::string_view body = message.body, sql;
     const bool isComplete = pg::takeCString(body, sql) && body.empty();
     if (!isComplete) {
--- /dev/null
+++ b/src/downstream/client_session_reading.cpp
@@ -0,0 +1,159 @@
+// Reading the messages of a client: the memory for them, how long the rest of one is awaited, and what happens
+// to one that is not received completely.
+#include "downstream/client_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace myrtlehead::downstream {
+
+using net::ErrorCode;
+
+namespace {
+
+constexpr Nanoseconds kMessageTimeout = 2 * kSecond; // for the rest of a partly received message
+// For the rest of a connection's first message, counted from when the connection was opened.
+constexpr Nanoseconds kFirstMessageTimeout = 5 * kSecond / 2;
+
+} // namespace
+
+// Reads until a whole message is at the front of the buffer, to which `out` refers, or has been discarded. The
+// connection may be closed between messages.
+net::Task<SessionFlow> ClientSession::nextMessage(pg::Message &out) {
+  for (std::optional<Nanoseconds> deadline;;) {
+    const auto parsed = parseNextMessage(out);
+    const bool isPartial = parsed == pg::ParseStatus::incomplete && hasPartialMessage();
+    readState_ = isPartial ? ReadState::receivingMessage : ReadState::notReading;
+    if (parsed == pg::ParseStatus::complete) co_return SessionFlow::proceed;
+    if (parsed == pg::ParseStatus::malformed) {
+      co_await failConnection("message length is invalid or above the limit");
+      co_return SessionFlow::end;
+    }
+    const auto client = co_await writeAnswersBeforeRead();
+    if (client == ClientState::gone) co_return SessionFlow::end;
+    if (hasPartialMessage()) deadline = deadlineOfPartialMessage(deadline);
+    listWhileReading();
+    co_await reserveMessageMemory(deadline);
+    const auto error = co_await readMore(deadline);
+    moveToList(ReclaimList::none);
+    if (error == ErrorCode::timedOut) co_await closeUnread();
+    if (error != ErrorCode::none) co_return SessionFlow::end;
+    lastReadAt_ = listener_.sched_.now();
+  }
+}
+
+// Parses the message at the front of the buffer. A message that is discarded is complete, with an empty body,
+// once its last byte has arrived.
+pg::ParseStatus ClientSession::parseNextMessage(pg::Message &out) {
+  if (!discarded_) return pg::parseMessage(buffer_.view(), out);
+  const auto bytes = std::min(discarded_->bytesLeft, buffer_.view().size());
+  buffer_.consume(bytes);
+  discarded_->bytesLeft -= bytes;
+  if (discarded_->bytesLeft > 0) return pg::ParseStatus::incomplete;
+  out = {discarded_->type, {}, 0};
+  return pg::ParseStatus::complete;
+}
+
+net::Task<ClientState> ClientSession::writeAnswersBeforeRead() {
+  const auto client = co_await flush();
+  if (client == ClientState::gone) co_return ClientState::gone;
+  if (isThrottled()) co_await throttle();
+  if (!closeToken_.isCancelled()) co_return ClientState::connected;
+  // Requests that are in flight when the connection is to be closed are answered first.
+  co_return co_await drain();
+}
+
+// Adds the session to the list of connections that may be closed in which it belongs before a read. A
+// connection without a valid statement may be closed for a new one, as before its startup message.
+void ClientSession::listWhileReading() {
+  const bool isIdle = !hasPartialMessage() && requests_.empty() && !isWriting_;
+  moveToList(isIdle ? ReclaimList::idle : hasBeenUsed() ? ReclaimList::none : ReclaimList::unused);
+}
+
+// Waits for further bytes. `deadline` is that of the message, if a part of it has arrived. Returns timedOut if
+// the rest of the message is late, or if the connection is to be closed and nothing is left to read.
+net::Task<ErrorCode> ClientSession::readMore(std::optional<Nanoseconds> deadline) {
+  if (!deadline) readState_ = ReadState::awaitingMessage;
+  auto error = ErrorCode::cancelled;
+  if (!closeToken_.isCancelled())
+    error = co_await socket_->read(buffer_, {deadline.value_or(sched::kNever), &closeToken_});
+  if (readState_ == ReadState::awaitingMessage) readState_ = ReadState::notReading;
+  if (error == ErrorCode::cancelled) error = co_await readFinalMessage(deadline);
+  co_return error;
+}
+
+// Returns the deadline for the rest of a partly received message. `current` is the deadline set when its
+// first part arrived, if it has been set.
+Nanoseconds ClientSession::deadlineOfPartialMessage(std::optional<Nanoseconds> current) const {
+  const auto initial = hasBeenUsed() ? listener_.sched_.now() + kMessageTimeout
+                                     : openedAt_ + kFirstMessageTimeout;
+  const auto deadline = current.value_or(initial);
+  const auto &shutdown = listener_.shutdown_;
+  return shutdown.isInProgress() ? std::min(deadline, shutdown.partialMessageDeadline()) : deadline;
+}
+
+// Reads once more after closeToken_ was cancelled. It waits for the rest of a partly received message and,
+// during a shutdown, for the first message of a new connection. Otherwise it reads once without waiting, for
+// a request that was sent before the client could see the end of the connection. It does not read a second
+// time, because a client may always have another request. Returns timedOut if nothing is left to read.
+net::Task<ErrorCode> ClientSession::readFinalMessage(std::optional<Nanoseconds> deadline) {
+  const bool mayWait = hasBeenUsed() ? deadline.has_value() : listener_.shutdown_.isInProgress();
+  if (!mayWait) {
+    if (closeRequest_ == CloseRequest::finalReadDone) co_return ErrorCode::timedOut;
+    closeRequest_ = CloseRequest::finalReadDone;
+    co_return socket_->tryRead(buffer_);
+  }
+  const net::Deadline until{deadline.value_or(listener_.shutdown_.partialMessageDeadline()), nullptr};
+  const auto error = co_await socket_->read(buffer_, until);
+  co_return error;
+}
+
+// Closes the connection after no further bytes have arrived in time.
+net::Task<> ClientSession::closeUnread() {
+  if (!closeToken_.isCancelled())
+    co_await failConnection("timed out waiting for the rest of a message");
+  else
+    co_await closeAtShutdown();
+}
+
+// Reserves memory for the message at the front of the buffer if it is large. If memory is short, messages that
+// take too long to arrive give up theirs. If none becomes available in time, the message is discarded, and
+// refused once the rest of it has arrived.
+net::Task<> ClientSession::reserveMessageMemory(std::optional<Nanoseconds> messageDeadline) {
+  if (!messageDeadline || discarded_) co_return;
+  const auto announced = pg::announcedSize(buffer_.view());
+  const auto needed = message_memory::bufferBytes(announced, buffer_.view().size());
+  if (announced <= kSmallMessageBytes || needed <= kSmallMessageBytes || memory_.isAcquired()) co_return;
+  readState_ = ReadState::awaitingMemory;
+  const auto waitUntil = std::min(*messageDeadline, listener_.sched_.now() + listener_.maxMemoryWait_);
+  auto *const cancellation = hasBeenUsed() ? &clientGone_ : &closeToken_;
+  auto woken = sched::WakeReason::notified;
+  while (!memory_.tryAcquire(listener_.messageMemory_, needed)) {
+    const auto retryAt = listener_.reclaimMessageMemory();
+    if (retryAt <= listener_.sched_.now()) continue;
+    const bool isOver = listener_.sched_.now() >= waitUntil || woken == sched::WakeReason::cancelled;
+    if (isOver) co_return discardPartialMessage();
+    const net::Deadline deadline{std::min(waitUntil, retryAt), cancellation};
+    woken = co_await listener_.sched_.wait(listener_.messageMemory_.released, deadline);
+  }
+  readState_ = ReadState::receivingMessage;
+  memoryHeldSince_ = listener_.sched_.now();
+  buffer_.reserve(needed); // one allocation for the whole message
+}
+
+Nanoseconds ClientSession::memoryReclaimableAt() const {
+  const bool isReclaimable = readState_ == ReadState::receivingMessage && memory_.isAcquired() &&
+                             !socket_->mayHaveUnreadData();
+  return isReclaimable ? message_memory::reclaimableAt(memoryHeldSince_) : sched::kNever;
+}
+
+void ClientSession::discardPartialMessage() {
+  const auto partial = buffer_.view();
+  discarded_ = DiscardedMessage{partial.front(), pg::announcedSize(partial) - partial.size()};
+  buffer_.consume(partial.size());
+  buffer_.shrink(kSmallMessageBytes);
+  memory_.release();
+  listener_.countRefusal();
+}
+
+} // namespace myrtlehead::downstream
--- a/src/downstream/client_session_requests.cpp
+++ b/src/downstream/client_session_requests.cpp
@@ -21,7 +21,7 @@
 
 pipelining_limits::ConnectionUsage ClientSession::usage() const {
   const auto writing = beingWritten_ != nullptr ? beingWritten_->text.size() : 0;
-  return {requests_.size(), replies_.byteCount() + writing};
+  return {requests_.size(), replies_.byteCount() + writing, requestBytes_};
 }
 
 void ClientSession::startRequest(const pg::Statement &parsed, int route) {
@@ -35,7 +35,9 @@
   request.statement = pg::rebindStatement(parsed, request.text);
   request.route = route;
   request.arrivedAt = lastReadAt_;
+  requestBytes_ += request.text.size();
   request.memory = std::move(memory_);
+  request.memory.shrink(request.text.size());
   request.reply = &replies_.addReply();
   request.reply->id = OpenRequestId(listener_.openRequestIds_, id);
   request.ticket.onAdmitted = [&request] { request.admitted.notify(); };
@@ -126,7 +128,7 @@
 
 void ClientSession::rejectRequest(Request &request, std::string_view message, Nanoseconds retryAfter) {
   const auto retryAfterMs = retryAfter > 0 ? std::to_string(retryAfter / kMillisecond) : "";
-  pg::addError(request.reply->text, {"ERROR", "53300", message, retryAfterMs});
+  pg::addError(request.reply->text, {"ERROR", kRetriableSqlState, message, retryAfterMs});
 }
 
 // Completes the request's answer and makes the request behind it the first in flight. The coroutine of the
@@ -136,6 +138,7 @@
   pg::addReadyForQuery(self->reply->text);
   self->reply->isComplete = true;
   self->memory.release();
+  requestBytes_ -= self->text.size();
   listener_.pipeliningLimits_.release(self->ticket);
   if (!requests_.empty()) listener_.pipeliningLimits_.onBecameFirst(requests_.front().ticket);
 }
@@ -182,7 +185,7 @@
 void ClientSession::onAllWritten() {
   if (!requests_.empty()) return;
   if (closeRequest_ != CloseRequest::none) requestCloseNow();
-  if (isAwaitingMessage_) moveToList(ReclaimList::idle);
+  if (readState_ == ReadState::awaitingMessage) moveToList(ReclaimList::idle);
 }
 
 } // namespace myrtlehead::downstream
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -1,6 +1,9 @@
 #include "downstream/listener.h"
 
 #include "downstream/client_session.h"
+#include "policy/message_memory.h"
+
+#include <algorithm>
 
 namespace myrtlehead::downstream {
 
@@ -23,7 +26,7 @@
 constexpr Nanoseconds kMaxIdleTime = 10 * kSecond;
 constexpr Nanoseconds kMaxUnusedIdleTime = 2 * kSecond; // if the connection has never been used
 constexpr Nanoseconds kSweepInterval = kSecond / 4;
-constexpr Nanoseconds kClientErrorLogInterval = kSecond;
+constexpr Nanoseconds kEventLogInterval = kSecond;
 constexpr int kMaxBacklogFailures = 1000; // backlog connections that their clients have closed already
 
 net::Task<> runSession(std::unique_ptr<ClientSession> session, ConnectionDecision decision) {
@@ -39,6 +42,7 @@
     : sched_(sched), budget_(budget), router_(router), pool_(pool), log_(log), routes_(std::move(routes)),
       routeTimeouts_(std::move(routeTimeouts)),
       messageMemory_(std::max(messageMemory, 4 * pg::kMaxClientMessageBytes)),
+      maxMemoryWait_(message_memory::maxWait(routeTimeouts_)),
       socket_(net::listenTcp(sched, budget, address)),
       pipeliningLimits_(budget.limit() / kRequestCapacityDivisor) {}
 
@@ -95,14 +99,29 @@
   }
 }
 
+Nanoseconds Listener::reclaimMessageMemory() {
+  const auto slowest = std::ranges::min_element(sessions_, {}, &ClientSession::memoryReclaimableAt);
+  if (slowest == sessions_.end()) return sched::kNever;
+  const auto reclaimableAt = (*slowest)->memoryReclaimableAt();
+  if (reclaimableAt <= sched_.now()) (*slowest)->discardPartialMessage();
+  return reclaimableAt;
+}
+
 // Logs at most one line per interval, as a client may send thousands of invalid messages.
+void Listener::countEvent(UnloggedEvents &events, std::string_view message, std::string_view latest) {
+  ++events.count;
+  if (events.loggedAt != 0 && sched_.now() - events.loggedAt < kEventLogInterval) return;
+  log_.warning(message, {{"count", events.count}, {"latest", latest}});
+  events = {0, sched_.now()};
+}
+
 void Listener::countClientError(std::string_view what) {
-  ++unloggedClientErrors_;
-  if (sched_.now() - clientErrorsLoggedAt_ < kClientErrorLogInterval) return;
-  log_.warning("clients sent invalid or unsupported messages",
-               {{"count", unloggedClientErrors_}, {"latest", what}});
-  unloggedClientErrors_ = 0;
-  clientErrorsLoggedAt_ = sched_.now();
+  countEvent(clientErrors_, "clients sent invalid or unsupported messages", what);
+}
+
+void Listener::countRefusal() {
+  countEvent(refusals_, "large messages refused: the memory for them is in use",
+             std::to_string(messageMemory_.available()) + " bytes free");
 }
 
 // Adds the session to sessions_ before its coroutine runs, so that a shutdown in the same scheduler round
--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -43,7 +43,11 @@
   bool ensureDescriptorForConnection();
   void updateShortage();
   Reclaim closeOneIdle();
+  // Takes the memory from the message that has held it for longest without having arrived completely. Returns
+  // when to try again: now if memory was reclaimed, sched::kNever if no such message holds any.
+  Nanoseconds reclaimMessageMemory();
   void countClientError(std::string_view what);
+  void countRefusal(); // of a message for which there is no memory
   void startSession(std::unique_ptr<net::Socket> accepted);
   net::Task<> acceptBacklog();
   void closeAllWhenAnswered();
@@ -55,6 +59,7 @@
   std::vector<std::string> routes_;
   std::vector<Nanoseconds> routeTimeouts_;
   net::MemoryBudget messageMemory_; // for large messages of all clients
+  Nanoseconds maxMemoryWait_;       // of a message for memory
   std::unique_ptr<net::Socket> socket_;
   sched::CancellationToken acceptStop_; // ends acceptConnections()
   graceful_shutdown::GracefulShutdown shutdown_;
@@ -67,8 +72,14 @@
   std::list<ClientSession *> idle_;    // no request is in flight
   std::set<std::string, std::less<>> openRequestIds_; // ids of the requests in flight
   pipelining_limits::PipeliningLimits pipeliningLimits_;
-  unsigned unloggedClientErrors_ = 0; // since the latest log line about client errors
-  Nanoseconds clientErrorsLoggedAt_ = 0;
+  // Events since the latest log line about them.
+  struct UnloggedEvents {
+    unsigned count = 0;
+    Nanoseconds loggedAt = 0;
+  };
+  void countEvent(UnloggedEvents &events, std::string_view message, std::string_view latest);
+  UnloggedEvents clientErrors_;
+  UnloggedEvents refusals_;
   sched::Event sessionEnded_;
 };
 
--- /dev/null
+++ b/src/policy/message_memory.h
@@ -0,0 +1,29 @@
+// Decides how much memory a client's message takes while it is received, how long it waits for memory, and
+// when it gives its memory up for others. No I/O; time is an argument.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace myrtlehead::message_memory {
+
+using Nanoseconds = std::int64_t;
+
+// Messages and buffers up to this size take no memory of the budget for large messages.
+constexpr std::size_t kSmallMessageBytes = 16 * 1024;
+
+// Returns the size of the buffer for a message of `announcedBytes` of which `arrivedBytes` have arrived. It
+// exceeds kSmallMessageBytes only if that many bytes are about to be needed, so that a client takes no memory
+// for a message that it announces and does not send.
+std::size_t bufferBytes(std::size_t announcedBytes, std::size_t arrivedBytes);
+
+// Returns how long a message may wait for memory before it is refused. Its client's timeout stands at the end
+// of the message and is not known yet, so the wait is a part of the shortest timeout of any route.
+Nanoseconds maxWait(std::span<const Nanoseconds> routeTimeouts);
+
+// Returns from when on a message that has held memory since `heldSince`, and has not arrived completely, may
+// lose it to another message.
+Nanoseconds reclaimableAt(Nanoseconds heldSince);
+
+} // namespace myrtlehead::message_memory
--- a/src/policy/pipelining_limits.cpp
+++ b/src/policy/pipelining_limits.cpp
@@ -6,6 +6,7 @@
 
 constexpr std::size_t kMaxRequestsPerConnection = 128;
 constexpr std::size_t kMaxAnswerBytesPerConnection = 256 * 1024;
+constexpr std::size_t kMaxRequestBytesPerConnection = 256 * 1024;
 // Maximum number of waiting requests of all connections, as a multiple of the capacity.
 constexpr std::size_t kMaxWaitingPerCapacity = 2;
 // A request waits for admission for at most 1/kAdmissionWaitDivisor of its client's timeout.
@@ -20,6 +21,7 @@
 bool PipeliningLimits::mayStartMessage(const ConnectionUsage &usage) const {
   if (usage.answerBytes >= kMaxAnswerBytesPerConnection) return false;
   if (usage.requests == 0) return true;
+  if (usage.requestBytes >= kMaxRequestBytesPerConnection) return false;
   const auto maxWaiting = kMaxWaitingPerCapacity * static_cast<std::size_t>(capacity_);
   return usage.requests < kMaxRequestsPerConnection && waiting_.size() < maxWaiting;
 }
--- a/src/policy/pipelining_limits.h
+++ b/src/policy/pipelining_limits.h
@@ -13,8 +13,9 @@
 
 // What a connection currently has in flight.
 struct ConnectionUsage {
-  std::size_t requests = 0;    // requests that are started and not completely answered
-  std::size_t answerBytes = 0; // bytes of answers that are not written yet
+  std::size_t requests = 0;     // requests that are started and not completely answered
+  std::size_t answerBytes = 0;  // bytes of answers that are not written yet
+  std::size_t requestBytes = 0; // bytes of the texts of these requests
 };
 
 // Returns until when a request behind others on its connection may wait for admission. `clientTimeout` is how
@@ -41,9 +42,9 @@
   explicit PipeliningLimits(int capacity) : capacity_(capacity) {}
 
   // Whether a connection may start another message. A connection is not read further while too many bytes of
-  // its answers are unwritten, while it has too many requests in flight, or while it has requests in flight
-  // and too many requests of all connections wait for admission. A connection with no requests in flight and
-  // no unwritten answers may always start a message.
+  // its answers are unwritten, while its requests in flight are too many or too large, or while it has
+  // requests in flight and too many requests of all connections wait for admission. A connection with no
+  // requests in flight and no unwritten answers may always start a message.
   bool mayStartMessage(const ConnectionUsage &usage) const;
   // Admits the request if capacity is free or it is the first on its connection; otherwise queues it.
   void requestAdmission(AdmissionTicket &ticket, RequestPosition position);
--- a/tests/pipelining_limits_test.cpp
+++ b/tests/pipelining_limits_test.cpp
@@ -29,6 +29,8 @@
   CHECK(maxRequests >= 64);
   CHECK(maxRequests <= 256);
   CHECK(!limits.mayStartMessage({16, 256 * 1024}));
+  CHECK(!limits.mayStartMessage({2, 0, 256 * 1024}));
+  CHECK(limits.mayStartMessage({0, 0, 256 * 1024}));
 }
 
 TEST_CASE("a request waits for admission for at most half of its client's timeout") {
