--- a/src/downstream/client_session_reading.cpp
+++ b/src/downstream/client_session_reading.cpp
@@ -1,5 +1,5 @@
-// Reading the messages of a client: the memory for them, how long the rest of one is awaited, and what happens
-// to one that is not received completely.
+// Reading the messages of a client: the memory for them, how long the rest of one is awaited, and what
+// happens to one that is not received completely.
 #include "downstream/client_session.h"
 
 #include <algorithm>
@@ -17,8 +17,8 @@
 
 } // namespace
 
-// Reads until a whole message is at the front of the buffer, to which `out` refers, or has been discarded. The
-// connection may be closed between messages.
+// Reads until a whole message is at the front of the buffer, to which `out` refers, or has been discarded.
+// The connection may be closed between messages.
 net::Task<SessionFlow> ClientSession::nextMessage(pg::Message &out) {
   for (std::optional<Nanoseconds> deadline;;) {
     const auto parsed = parseNextMessage(out);
@@ -70,8 +70,8 @@
   moveToList(isIdle ? ReclaimList::idle : hasBeenUsed() ? ReclaimList::none : ReclaimList::unused);
 }
 
-// Waits for further bytes. `deadline` is that of the message, if a part of it has arrived. Returns timedOut if
-// the rest of the message is late, or if the connection is to be closed and nothing is left to read.
+// Waits for further bytes. `deadline` is that of the message, if a part of it has arrived. Returns timedOut
+// if the rest of the message is late, or if the connection is to be closed and nothing is left to read.
 net::Task<ErrorCode> ClientSession::readMore(std::optional<Nanoseconds> deadline) {
   if (!deadline) readState_ = ReadState::awaitingMessage;
   auto error = ErrorCode::cancelled;
@@ -99,7 +99,8 @@
 net::Task<ErrorCode> ClientSession::readFinalMessage(std::optional<Nanoseconds> deadline) {
   const bool mayWait = hasBeenUsed() ? deadline.has_value() : listener_.shutdown_.isInProgress();
   if (!mayWait) {
-    if (closeRequest_ == CloseRequest::finalReadDone) co_return ErrorCode::timedOut;
+    // The rest of a message that has arrived in part may have arrived, too.
+    if (closeRequest_ == CloseRequest::finalReadDone && !deadline) co_return ErrorCode::timedOut;
     closeRequest_ = CloseRequest::finalReadDone;
     co_return socket_->tryRead(buffer_);
   }
@@ -108,17 +109,22 @@
   co_return error;
 }
 
-// Closes the connection after no further bytes have arrived in time.
+// Closes the connection after no further bytes have arrived in time. A client of which a part of a message
+// was read is told an error.
 net::Task<> ClientSession::closeUnread() {
   if (!closeToken_.isCancelled())
     co_await failConnection("timed out waiting for the rest of a message");
+  else if (hasPartialMessage())
+    co_await closeWithError(kRetriableSqlState,
+                            "the connection is closed before the rest of the message has arrived; the "
+                            "request can be retried safely");
   else
     co_await closeAtShutdown();
 }
 
-// Reserves memory for the message at the front of the buffer if it is large. If memory is short, messages that
-// take too long to arrive give up theirs. If none becomes available in time, the message is discarded, and
-// refused once the rest of it has arrived.
+// Reserves memory for the message at the front of the buffer if it is large. If memory is short, messages
+// that take too long to arrive give up theirs. If none becomes available in time, the message is discarded,
+// and refused once the rest of it has arrived.
 net::Task<> ClientSession::reserveMessageMemory(std::optional<Nanoseconds> messageDeadline) {
   if (!messageDeadline || discarded_) co_return;
   const auto announced = pg::announcedSize(buffer_.view());
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -357,6 +357,36 @@
   proxy.loop.run(body());
 }
 
+// Guards against a connection that is closed for its descriptor, without a word, although a part of its first
+// request has been read: the last byte may arrive before the client sees the end.
+TEST_CASE("a connection that is closed for its descriptor inside a request is told an error") {
+  FixedAnswerProxy proxy(ScriptedServer::rowAnswer("value"), 0, 12);
+  auto body = [&]() -> sched::Task<> {
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 8; ++i) {
+      clients.push_back(std::make_unique<RawClient>(proxy.listener.address()));
+      clients.back()->write(startupMessage() + requestMessage(i).substr(0, 30));
+      co_await proxy.loop.sched.sleep(300 * kMillisecond);
+    }
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+      clients[i]->readAvailable();
+      clients[i]->write(requestMessage(static_cast<int>(i)).substr(30));
+    }
+    co_await proxy.loop.sched.sleep(1200 * kMillisecond);
+    int refused = 0;
+    for (auto &client : clients) {
+      std::string codes;
+      client->readAvailable();
+      const auto answers = client->answers(&codes);
+      const bool isRefused = answers == "RZE" && codes == "53300 ";
+      REQUIRE((isRefused || answers == "RZTDCZ"));
+      refused += isRefused;
+    }
+    REQUIRE(refused > 0);
+  };
+  proxy.loop.run(body());
+}
+
 // Guards against one client that fills the memory for large messages with requests behind each other.
 TEST_CASE("one connection's large requests in flight leave memory to other clients") {
   FixedAnswerProxy proxy(ScriptedServer::rowAnswer("value"), 500 * kMillisecond);
--- a/tests/raw_client.h
+++ b/tests/raw_client.h
@@ -37,6 +37,11 @@
     while (fd_ >= 0 && read(0)) {}
   }
 
+  // Returns the types of the messages read so far, as readToEnd() does.
+  std::string answers(std::string *codes = nullptr) const {
+    return readMessageTypes(bytes_, codes) + (isReset_ ? "!" : "");
+  }
+
 private:
   // Returns whether bytes were read within the timeout.
   bool read(int timeoutMs) {
