--- a/src/policy/rollout_tracker.cpp
+++ b/src/policy/rollout_tracker.cpp
@@ -5,8 +5,38 @@
 
 namespace myrtlehead {
 
+namespace {
+
+// The order in which a build passes through the phases; it may leave out some.
+int phaseOrder(RolloutPhase phase) {
+  switch (phase) {
+  case RolloutPhase::evaluating:
+    return 0;
+  case RolloutPhase::released:
+    return 1;
+  case RolloutPhase::rollingBack:
+    return 2;
+  case RolloutPhase::withdrawn:
+    return 3;
+  }
+  return 0;
+}
+
+// Whether the platform was in `state` before it was in `other`. Builds are numbered in the order in which
+// they are offered. Within a phase a build's stage rises, or its cap falls while it is rolled back.
+bool precedes(const RolloutState &state, const RolloutState &other) {
+  if (state.build != other.build) return state.build < other.build;
+  if (state.phase != other.phase) return phaseOrder(state.phase) < phaseOrder(other.phase);
+  const bool isForward = phaseOrder(state.phase) < phaseOrder(RolloutPhase::rollingBack);
+  return isForward ? state.stage < other.stage : state.exposureCap > other.exposureCap;
+}
+
+} // namespace
+
 RolloutTracker::Change RolloutTracker::onState(const RolloutState &state, Nanoseconds now) {
   Change change;
+  change.isOlder = isKnown_ && precedes(state, state_);
+  if (change.isOlder) return change;
   change.isNewBuild = !isKnown_ || state.build != state_.build;
   change.isNewStage = !change.isNewBuild && state.stage != state_.stage;
   change.isChanged = change.isNewBuild || state.stage != state_.stage || state.phase != state_.phase;
--- a/src/policy/rollout_tracker.h
+++ b/src/policy/rollout_tracker.h
@@ -1,4 +1,4 @@
-// Keeps the latest rollout state that the platform has sent, and tells which builds are candidates.
+// Keeps the newest rollout state that the platform has sent, and tells which builds are candidates.
 #pragma once
 
 #include "policy/deployment.h"
@@ -13,12 +13,15 @@
       : settings_(deployment.rollout), endpoints_(endpoints) {}
 
   struct Change {
+    bool isOlder = false; // the state precedes the known one and was not stored
     bool isNewBuild = false;
     bool isNewStage = false; // the stage has changed, the build has not
     bool isChanged = false;  // build, stage or phase has changed
     bool isFirst = false;    // no state was known before
   };
-  // Stores the state and returns what has changed.
+  // Stores the state and returns what has changed. States arrive in answers to votes, on several event
+  // streams and from several addresses, and so in any order. A state that the platform must have left before
+  // it reached the known one is ignored, whichever arrives last.
   Change onState(const RolloutState &state, Nanoseconds now);
 
   bool isKnown() const { return isKnown_; }
--- a/src/policy/rollout_types.h
+++ b/src/policy/rollout_types.h
@@ -14,6 +14,12 @@
   RolloutPhase phase = RolloutPhase::evaluating;
   double exposureCap = 0; // attempts at the build for each request, at most
   Nanoseconds age = 0;    // time since the stage or phase began
+
+  // Whether both are the same apart from their age.
+  bool isSameAs(const RolloutState &other) const {
+    return build == other.build && stage == other.stage && phase == other.phase &&
+           exposureCap == other.exposureCap;
+  }
 };
 
 // An abstention withdraws an earlier vote.
--- a/src/policy/routing_policy.cpp
+++ b/src/policy/routing_policy.cpp
@@ -149,6 +149,11 @@
 
 void RoutingPolicy::onRolloutState(const RolloutState &state, Nanoseconds now) {
   const auto change = rollout_.onState(state, now);
+  if (change.isOlder) {
+    due_.logLines.push_back(formatLine("older rollout state ignored: build %d %s, stage %d, cap %.3f",
+                                       state.build, nameOf(state.phase), state.stage, state.exposureCap));
+    return;
+  }
   if (change.isNewBuild) {
     test_.onNewBuild();
     fusion_.onNewBuild();
--- a/src/policy/routing_policy.h
+++ b/src/policy/routing_policy.h
@@ -58,7 +58,7 @@
   void requireSuccessSince(Nanoseconds since) { outliers_.requireSuccessSince(since); }
   void onLoadReport(Endpoint &endpoint, const std::vector<float> &values, Nanoseconds now);
 
-  // Notifications of the rollout and of other instances.
+  // Notifications of the rollout and of other instances. A state older than the known one is ignored.
   void onRolloutState(const RolloutState &state, Nanoseconds now);
   void onVoteReply(VoteReply reply, Nanoseconds now);
   void onPeerMessage(int from, const std::uint8_t *bytes, std::size_t size, Nanoseconds now);
@@ -71,6 +71,8 @@
   void onAnswerStarted(Request &request) { request.answerStarted = true; }
   void onClientDisconnected(Request &request) { request.finished = true; }
 
+  // The newest rollout state that is known.
+  const RolloutState &rolloutState() const { return rollout_.state(); }
   // The deployment as configured, except that tenantQuotas holds this instance's share of the quotas.
   const Deployment &deployment() const { return deployment_; }
   std::deque<Endpoint> &endpoints() { return endpoints_.all(); }
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -116,7 +116,7 @@
 bool Router::isStillCurrent(const RequestContext &context) const {
   const auto *endpoint = context.endpoint_;
   if (endpoint == nullptr || endpoint->version != context.endpointVersion_) return false;
-  return context.rolloutVersion_ == rolloutVersion_ || context.build_ < rolloutState_.build;
+  return context.rolloutVersion_ == rolloutVersion_ || context.build_ < policy_.rolloutState().build;
 }
 
 void Router::onClientDisconnected(RequestContext &context) { policy_.onClientDisconnected(context.request_); }
@@ -278,11 +278,9 @@
 }
 
 void Router::onRolloutState(const RolloutState &state) {
-  const bool isSame = state.build == rolloutState_.build && state.stage == rolloutState_.stage &&
-                      state.phase == rolloutState_.phase && state.exposureCap == rolloutState_.exposureCap;
-  if (!isSame) ++rolloutVersion_;
-  rolloutState_ = state;
+  const auto before = policy_.rolloutState();
   policy_.onRolloutState(state, now());
+  if (!policy_.rolloutState().isSameAs(before)) ++rolloutVersion_;
   runDueTasks();
 }
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -140,7 +140,6 @@
   std::deque<UpstreamEndpoint> endpoints_;
   std::unordered_map<std::string, UpstreamEndpoint *> endpointsByName_;
   std::unordered_map<const Endpoint *, UpstreamEndpoint *> endpointsByPolicyEndpoint_;
-  RolloutState rolloutState_;
   std::uint64_t rolloutVersion_ = 0; // incremented when the rollout's state changes
   std::deque<Vote> pendingVotes_;
   std::deque<PeerMessage> pendingPeerMessages_;
--- a/tests/rollout_client_test.cpp
+++ b/tests/rollout_client_test.cpp
@@ -78,3 +78,88 @@
   };
   fixture.loop.run(body());
 }
+
+namespace {
+
+const std::string kRollingBack = "build=2&stage=1&phase=Aborting&cap=0&age_ms=0";
+const std::string kOnTrial = "build=2&stage=1&phase=Progressing&cap=0.5&age_ms=8000";
+
+std::string stageEvent(const std::string &state) { return chunk("event: stage\ndata: " + state + "\n\n"); }
+
+// Returns whether any of ten requests is forwarded if all endpoints run build 2.
+sched::Task<bool> forwardsToBuild2(ControlFixture &fixture) {
+  fixture.router.onWatchMessage(MessageSource::currentAddress); // the endpoint list is up to date
+  fixture.router.onEndpointUpdates({{"s-1", "127.0.0.1:9", {.build = 2}}}, true);
+  bool isForwarded = false;
+  for (int i = 0; i < 10; ++i) {
+    sched::CancellationToken cancellation;
+    RequestContext context(0, 0, 50 * kMillisecond, false, fixture.loop.sched.now());
+    const auto decision = co_await fixture.router.nextAttempt(context, cancellation);
+    isForwarded |= decision.action == AttemptDecision::forward;
+  }
+  co_return isForwarded;
+}
+
+} // namespace
+
+// Guards against a build that is sent back and gets its share again, because the answer to a vote, which the
+// platform wrote before the news, is read after it.
+TEST_CASE("news that a build goes back is not undone by an older answer to a vote") {
+  bool hasVoted = false, isNewsRead = false;
+  EventLoop *loop = nullptr;
+  const auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    const auto request = co_await readRequestLine(s, b);
+    std::string out = kChunkedResponseHead + stageEvent(kRollingBack);
+    if (request == "POST /") {
+      hasVoted = true;
+      while (!isNewsRead) co_await loop->sched.sleep(kMillisecond);
+      out = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kRolloutStateXml.size()) + "\r\n\r\n" +
+            kRolloutStateXml;
+    }
+    while (!hasVoted) co_await loop->sched.sleep(kMillisecond);
+    co_await s.write(out, {});
+    co_await s.read(b, {});
+  };
+  ControlFixture fixture(script);
+  loop = &fixture.loop;
+  const auto body = [&]() -> sched::Task<> {
+    fixture.loop.sched.spawn(fixture.rolloutClient.followEventStream());
+    fixture.loop.sched.spawn(fixture.rolloutClient.sendVotes());
+    fixture.router.onRolloutState({2, 1, RolloutPhase::evaluating, 0.5, 20 * kSecond});
+    fixture.router.onEndpointUpdates({{"s-1", "127.0.0.1:9", {.build = 2}}}, true);
+    while (!hasVoted) co_await fixture.loop.sched.sleep(kMillisecond);
+    co_await fixture.loop.sched.sleep(20 * kMillisecond);
+    isNewsRead = true;
+    co_await fixture.loop.sched.sleep(20 * kMillisecond);
+    const bool forwardsAfterNews = co_await forwardsToBuild2(fixture);
+    REQUIRE(!forwardsAfterNews);
+  };
+  fixture.loop.run(body());
+}
+
+// Guards against an older state that comes on a new stream, or from a platform's new address after SIGHUP.
+TEST_CASE("news that a build goes back is not undone by an older state on another stream") {
+  for (const bool isMoved : {false, true}) {
+    int streams = 0;
+    const auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+      co_await readRequestLine(s, b);
+      const auto out = kChunkedResponseHead + stageEvent(++streams == 1 ? kRollingBack : kOnTrial);
+      co_await s.write(out, {});
+      if (streams == 1 && !isMoved) co_return; // the stream ends, and another one is opened
+      co_await s.read(b, {});
+    };
+    ControlFixture fixture(script);
+    ScriptedServer other(fixture.loop, script);
+    const auto body = [&]() -> sched::Task<> {
+      fixture.loop.sched.spawn(fixture.rolloutClient.followEventStream());
+      while (streams < 1) co_await fixture.loop.sched.sleep(kMillisecond);
+      co_await fixture.loop.sched.sleep(20 * kMillisecond);
+      if (isMoved) fixture.rolloutClient.moveTo(*net::parseAddress(other.address()));
+      while (streams < 2) co_await fixture.loop.sched.sleep(kMillisecond);
+      co_await fixture.loop.sched.sleep(20 * kMillisecond);
+      const bool forwards = co_await forwardsToBuild2(fixture);
+      REQUIRE(!forwards);
+    };
+    fixture.loop.run(body());
+  }
+}
