--- a/src/base/net/socket.cpp
+++ b/src/base/net/socket.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <system_error>
 #include <unistd.h>
+#include <utility>
 
 namespace myrtlehead::net {
 
@@ -16,11 +17,28 @@
 
 constexpr std::size_t kMinReadBytes = 4096; // free space of the buffer before each read
 
+// The time after which a system call is repeated that has failed for want of a resource of the system.
+constexpr Nanoseconds kResourceRetryInterval = 10'000'000; // 10 ms
+
+// Whether a system call has failed because the system is short of memory, and may succeed a moment later. The
+// connection itself is in order.
+bool isResourceShortage(int error) { return error == ENOBUFS || error == ENOMEM; }
+
 // Maps an errno value of a connection attempt.
 ErrorCode errorFromErrno(int error) {
+  const bool isLocal = isResourceShortage(error) || error == EAGAIN || error == EADDRNOTAVAIL;
+  if (isLocal) return ErrorCode::noDescriptorLeft;
   return error == ECONNREFUSED ? ErrorCode::refused : ErrorCode::connectionLost;
 }
 
+// Repeats a system call for as long as a signal interrupts it.
+template <class Call> auto retryInterrupted(Call call) {
+  for (;;) {
+    const auto result = call();
+    if (result >= 0 || errno != EINTR) return result;
+  }
+}
+
 // Maps the reason why a wait for a descriptor ended without an event of the descriptor.
 ErrorCode errorFromWakeReason(sched::WakeReason reason) {
   return reason == sched::WakeReason::cancelled ? ErrorCode::cancelled : ErrorCode::timedOut;
@@ -38,6 +56,15 @@
   throw std::system_error(error, std::generic_category(), operation + formatAddress(address));
 }
 
+// Returns nullptr, and leaves `fd` open, if the descriptor can't be registered with epoll.
+std::unique_ptr<Socket> makeSocket(Scheduler &sched, DescriptorBudget &budget, int fd) {
+  try {
+    return std::make_unique<Socket>(sched, budget, fd);
+  } catch (const std::system_error &) {
+    return nullptr;
+  }
+}
+
 std::unique_ptr<Socket> bindSocket(Scheduler &sched, DescriptorBudget &budget, Address address, int type) {
   const int fd = socket(address.storage.sin6_family, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) closeAndThrow(fd, "cannot create a socket for ", address);
@@ -95,11 +122,12 @@
   int type = 0;
   socklen_t size = sizeof type;
   isStream_ = getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &size) == 0 && type == SOCK_STREAM;
-  budget_.acquire();
   sched_.watch(fd, *this);
+  budget_.acquire();
 }
 
 Socket::~Socket() {
+  if (unregisteredFd_ >= 0) close(unregisteredFd_);
   sched_.unwatch(fd_);
   close(fd_);
   budget_.release();
@@ -129,7 +157,7 @@
 
 ErrorCode Socket::tryRead(Buffer &into) {
   const auto space = into.prepare(kMinReadBytes);
-  const auto n = recv(fd_, space.data(), space.size(), 0);
+  const auto n = retryInterrupted([&] { return recv(fd_, space.data(), space.size(), 0); });
   const bool isDrained = n < 0 ? errno == EAGAIN : isStream_ && static_cast<std::size_t>(n) < space.size();
   if (isDrained && !isHungUp_) isReadReady_ = false; // epoll reports any later data as a new edge
   if (n > 0) {
@@ -137,7 +165,15 @@
     return ErrorCode::none;
   }
   if (n == 0) return ErrorCode::closedByPeer;
-  return errno == EAGAIN || errno == EINTR ? ErrorCode::timedOut : ErrorCode::connectionLost;
+  return errno == EAGAIN || isResourceShortage(errno) ? ErrorCode::timedOut : ErrorCode::connectionLost;
+}
+
+// Waits for the event, or only for a moment if no event will tell when the system call can be repeated.
+Task<ErrorCode> Socket::awaitRetry(sched::Event &event, EventExpected expected, Deadline deadline) {
+  const auto retryAt = expected == EventExpected::yes ? sched::kNever : sched_.now() + kResourceRetryInterval;
+  const auto woken = co_await sched_.wait(event, {std::min(deadline.at, retryAt), deadline.cancellation});
+  if (woken == sched::WakeReason::timedOut && retryAt < deadline.at) co_return ErrorCode::none;
+  co_return woken == sched::WakeReason::notified ? ErrorCode::none : errorFromWakeReason(woken);
 }
 
 Task<ErrorCode> Socket::read(Buffer &into, Deadline deadline) {
@@ -145,8 +181,9 @@
     // No system call is made if no data can have arrived since the last read.
     const auto error = isReadReady_ ? tryRead(into) : ErrorCode::timedOut;
     if (error != ErrorCode::timedOut) co_return error;
-    const auto woken = co_await sched_.wait(readable_, deadline);
-    if (woken != sched::WakeReason::notified) co_return errorFromWakeReason(woken);
+    const auto expected = isReadReady_ ? EventExpected::no : EventExpected::yes;
+    const auto waited = co_await awaitRetry(readable_, expected, deadline);
+    if (waited != ErrorCode::none) co_return waited;
   }
 }
 
@@ -157,21 +194,24 @@
 
 Task<ErrorCode> Socket::write(std::string_view bytes, Deadline deadline) {
   while (!bytes.empty()) {
-    const auto n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const auto n = retryInterrupted([&] { return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL); });
     if (n >= 0) {
       bytes.remove_prefix(static_cast<std::size_t>(n));
       bytesWritten_ += static_cast<std::size_t>(n);
       continue;
     }
-    if (errno != EAGAIN && errno != EINTR) co_return ErrorCode::connectionLost;
-    const auto woken = co_await sched_.wait(writable_, deadline);
-    if (woken != sched::WakeReason::notified) co_return errorFromWakeReason(woken);
+    const int error = errno;
+    if (error != EAGAIN && !isResourceShortage(error)) co_return ErrorCode::connectionLost;
+    const auto expected = error == EAGAIN ? EventExpected::yes : EventExpected::no;
+    const auto waited = co_await awaitRetry(writable_, expected, deadline);
+    if (waited != ErrorCode::none) co_return waited;
   }
   co_return ErrorCode::none;
 }
 
 bool Socket::tryWrite(std::string_view bytes) {
-  return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+  const auto n = retryInterrupted([&] { return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL); });
+  return n == static_cast<ssize_t>(bytes.size());
 }
 
 bool Socket::isOpenAndIdle() const {
@@ -183,10 +223,15 @@
                                               Deadline deadline) {
   const int fd = ::socket(to.storage.sin6_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) co_return Failure{ErrorCode::noDescriptorLeft};
-  auto socket = std::make_unique<Socket>(sched, budget, fd);
+  auto socket = makeSocket(sched, budget, fd);
+  if (socket == nullptr) {
+    close(fd);
+    co_return Failure{ErrorCode::noDescriptorLeft};
+  }
   disableNagle(fd);
   if (::connect(fd, to.asSockaddr(), to.size()) == 0) co_return std::move(socket);
-  if (errno != EINPROGRESS) co_return Failure{errorFromErrno(errno)};
+  const bool isInProgress = errno == EINPROGRESS || errno == EINTR;
+  if (!isInProgress) co_return Failure{errorFromErrno(errno)};
   const auto woken = co_await sched.wait(socket->writable_, deadline);
   if (woken != sched::WakeReason::notified) co_return Failure{errorFromWakeReason(woken)};
   int error = 0;
@@ -207,7 +252,11 @@
 std::unique_ptr<Socket> connectUdp(Scheduler &sched, DescriptorBudget &budget, Address to) {
   const int fd = socket(to.storage.sin6_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return nullptr;
-  auto out = std::make_unique<Socket>(sched, budget, fd);
+  auto out = makeSocket(sched, budget, fd);
+  if (out == nullptr) {
+    close(fd);
+    return nullptr;
+  }
   if (::connect(fd, to.asSockaddr(), to.size()) != 0) return nullptr;
   return out;
 }
@@ -220,14 +269,21 @@
 }
 
 Result<std::unique_ptr<Socket>> tryAccept(Scheduler &sched, DescriptorBudget &budget, Socket &listener) {
-  const int fd = accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  const int accepted = std::exchange(listener.unregisteredFd_, -1);
+  const auto accept = [&] { return accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); };
+  const int fd = accepted >= 0 ? accepted : retryInterrupted(accept);
   if (fd < 0) {
     if (errno == EAGAIN) return Failure{ErrorCode::timedOut};
     const bool isOutOfResources = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
     return Failure{isOutOfResources ? ErrorCode::noDescriptorLeft : ErrorCode::connectionLost};
   }
+  auto socket = makeSocket(sched, budget, fd);
+  if (socket == nullptr) {
+    listener.unregisteredFd_ = fd; // closing it would lose the request that its client may have sent
+    return Failure{ErrorCode::noDescriptorLeft};
+  }
   disableNagle(fd);
-  return std::make_unique<Socket>(sched, budget, fd);
+  return socket;
 }
 
 } // namespace myrtlehead::net
--- a/src/base/net/socket.h
+++ b/src/base/net/socket.h
@@ -40,7 +40,8 @@
 // lifetime of the object.
 class Socket final : private sched::DescriptorObserver {
 public:
-  // Takes ownership of `fd`; the destructor closes it.
+  // Takes ownership of `fd`; the destructor closes it. Throws std::system_error, and leaves `fd` open, if the
+  // descriptor can't be registered with epoll.
   Socket(Scheduler &sched, DescriptorBudget &budget, int fd);
   ~Socket();
   Socket(const Socket &) = delete;
@@ -71,7 +72,11 @@
   std::size_t bytesWritten() const { return bytesWritten_; } // by all write() calls so far
 
 private:
+  // Whether an event of the descriptor will tell when a system call can be repeated.
+  enum class EventExpected { yes, no };
   friend Task<Result<std::unique_ptr<Socket>>> connect(Scheduler &, DescriptorBudget &, Address, Deadline);
+  friend Result<std::unique_ptr<Socket>> tryAccept(Scheduler &, DescriptorBudget &, Socket &);
+  Task<ErrorCode> awaitRetry(sched::Event &event, EventExpected expected, Deadline deadline);
   void onEvents(std::uint32_t events) override;
   Scheduler &sched_;
   DescriptorBudget &budget_;
@@ -83,6 +88,7 @@
   bool isStream_ = false;
   bool isReadReady_ = true; // data may have arrived since a read last emptied the receive queue
   std::size_t bytesWritten_ = 0;
+  int unregisteredFd_ = -1; // accepted, but not registered with epoll yet; -1: none
 };
 
 // Opens a TCP connection to `to`.
@@ -93,14 +99,14 @@
 std::unique_ptr<Socket> listenTcp(Scheduler &sched, DescriptorBudget &budget, Address address);
 std::unique_ptr<Socket> bindUdp(Scheduler &sched, DescriptorBudget &budget, Address address);
 // Opens a datagram socket that receives only from `to`, at a local port chosen by the operating system.
-// Returns nullptr if no descriptor is left or there is no route to `to`.
+// Returns nullptr if no descriptor or memory is left or there is no route to `to`.
 std::unique_ptr<Socket> connectUdp(Scheduler &sched, DescriptorBudget &budget, Address to);
 // Returns the local address of a socket.
 Address localAddress(const Socket &socket);
 
 // Accepts a connection from the backlog without waiting. The cause of a failure is timedOut if the backlog is
-// empty, noDescriptorLeft if the system is short of descriptors or socket memory, and connectionLost for any
-// other error, such as a connection that has already ended.
+// empty, noDescriptorLeft if the system is short of descriptors or memory for the moment, and connectionLost
+// for any other error, such as a connection that has already ended.
 Result<std::unique_ptr<Socket>> tryAccept(Scheduler &sched, DescriptorBudget &budget, Socket &listener);
 
 } // namespace myrtlehead::net
--- /dev/null
+++ b/tests/system_call_failures_test.cpp
@@ -0,0 +1,91 @@
+// Requests while system calls fail for a moment, in ways that Linux documents. The calls of this program come
+// to the functions below before they come to the C library.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "raw_client.h"
+
+#include <cerrno>
+#include <dlfcn.h>
+#include <sys/epoll.h>
+
+using namespace myrtlehead;
+
+namespace {
+
+// Fails a number of calls of one function with an error.
+struct InjectedFailure {
+  int error = 0;
+  int calls = 0; // that still fail
+  bool takesCall() {
+    if (calls == 0) return false;
+    --calls;
+    errno = error;
+    return true;
+  }
+};
+InjectedFailure recvFailure, sendFailure, acceptFailure, epollFailure;
+
+template <class Function> Function *next(const char *name) {
+  return reinterpret_cast<Function *>(dlsym(RTLD_NEXT, name));
+}
+
+} // namespace
+
+extern "C" ssize_t recv(int fd, void *into, size_t size, int flags) {
+  if (recvFailure.takesCall()) return -1;
+  static auto *const real = next<ssize_t(int, void *, size_t, int)>("recv");
+  return real(fd, into, size, flags);
+}
+
+extern "C" ssize_t send(int fd, const void *from, size_t size, int flags) {
+  if (sendFailure.takesCall()) return -1;
+  static auto *const real = next<ssize_t(int, const void *, size_t, int)>("send");
+  return real(fd, from, size, flags);
+}
+
+extern "C" int accept4(int fd, sockaddr *address, socklen_t *size, int flags) {
+  if (acceptFailure.takesCall()) return -1;
+  static auto *const real = next<int(int, sockaddr *, socklen_t *, int)>("accept4");
+  return real(fd, address, size, flags);
+}
+
+extern "C" int epoll_ctl(int epoll, int operation, int fd, epoll_event *event) noexcept {
+  if (operation == EPOLL_CTL_ADD && epollFailure.takesCall()) return -1;
+  static auto *const real = next<int(int, int, int, epoll_event *)>("epoll_ctl");
+  return real(epoll, operation, fd, event);
+}
+
+// Guards against requests that are read and closed unanswered because a system call fails for a moment.
+TEST_CASE("a request is served although system calls of its connection fail for a moment") {
+  struct Case {
+    const char *call;
+    InjectedFailure &failure;
+    int error;
+  };
+  const std::vector<Case> cases{{"recv", recvFailure, EINTR},     {"recv", recvFailure, ENOMEM},
+                                {"recv", recvFailure, ENOBUFS},   {"send", sendFailure, EINTR},
+                                {"send", sendFailure, ENOBUFS},   {"send", sendFailure, ENOMEM},
+                                {"accept4", acceptFailure, EINTR}, {"accept4", acceptFailure, ENOMEM},
+                                {"accept4", acceptFailure, ENFILE}, {"epoll_ctl", epollFailure, ENOMEM},
+                                {"epoll_ctl", epollFailure, ENOSPC}};
+  for (const auto &tested : cases) {
+    CAPTURE(tested.call);
+    CAPTURE(tested.error);
+    FixedAnswerProxy proxy;
+    auto body = [&]() -> sched::Task<> {
+      RawClient client(proxy.listener.address());
+      client.write(startupMessage() + requestMessage(1));
+      tested.failure = {tested.error, 3};
+      for (int i = 0; i < 80 && client.answers() != "RZTDCZ"; ++i) {
+        co_await proxy.loop.sched.sleep(10 * kMillisecond);
+        const auto paused = std::exchange(tested.failure, {}); // the client's own calls do not fail
+        client.readAvailable();
+        tested.failure = paused;
+      }
+      REQUIRE(client.answers() == "RZTDCZ");
+      REQUIRE(tested.failure.calls == 0);
+    };
+    proxy.loop.run(body());
+  }
+}
