--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -17,7 +17,8 @@
 constexpr int kRequestCapacityDivisor = 3; // for client requests; upstream attempts need as many again
 constexpr int kMinReserveDivisor = 12;     // not even used to reject a client
 
-constexpr Nanoseconds kAcceptRetryInterval = kSecond / 10; // while no descriptor is free
+constexpr Nanoseconds kAcceptRetryInterval = kSecond / 10;   // while no descriptor is free
+constexpr Nanoseconds kBacklogRetryInterval = kSecond / 100; // the same during a shutdown
 // Minimum time that a connection stays in its list before it may be closed for a new one.
 constexpr Nanoseconds kMinClosingTime = kSecond / 10;      // lets the client see the end of the connection
 constexpr Nanoseconds kMinIdleTime = 2 * kSecond;          // required by the service's protocol
@@ -177,9 +178,10 @@
       continue;
     }
     closeAllWhenAnswered();
-    const net::Deadline deadline{shutdown_.partialMessageDeadline(), nullptr};
-    const auto woken = co_await sched_.wait(budget_.released, deadline);
-    if (woken != sched::WakeReason::notified) co_return;
+    // A shortage of the system itself ends without a release of this process.
+    const auto until = std::min(shutdown_.partialMessageDeadline(), sched_.now() + kBacklogRetryInterval);
+    co_await sched_.wait(budget_.released, {until, nullptr});
+    if (sched_.now() >= shutdown_.partialMessageDeadline()) co_return;
   }
 }
 
--- a/tests/system_call_failures_test.cpp
+++ b/tests/system_call_failures_test.cpp
@@ -89,3 +89,19 @@
     proxy.loop.run(body());
   }
 }
+
+// Guards against a listening socket that is closed, with connections in its backlog, after the system has been
+// short of descriptors for a moment.
+TEST_CASE("the backlog is served during a shutdown although accepting fails for a moment") {
+  FixedAnswerProxy proxy;
+  auto body = [&]() -> sched::Task<> {
+    RawClient client(proxy.listener.address());
+    auto shutdown = proxy.listener.shutDown();
+    acceptFailure = {ENFILE, 8}; // in the backlog at the time at which it is accepted to its end
+    client.write(startupMessage() + requestMessage(1));
+    co_await shutdown;
+    REQUIRE(acceptFailure.calls == 0);
+    REQUIRE(client.readToEnd() == "RZTDCZ");
+  };
+  proxy.loop.run(body());
+}
