--- a/src/app/signals.cpp
+++ b/src/app/signals.cpp
@@ -1,11 +1,16 @@
 #include "app/signals.h"
 
+#include <cerrno>
 #include <csignal>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
 namespace myrtlehead::app {
 
+namespace {
+constexpr Nanoseconds kReadRetryInterval = 10 * kMillisecond; // after a system call that has failed
+}
+
 // A signal that arrives before handleSignals() runs stays pending, because it is blocked, and is read later.
 int openSignalDescriptor() {
   sigset_t handledSignals;
@@ -23,8 +28,11 @@
   for (;;) {
     signalfd_siginfo info{};
     const auto bytesRead = read(signals.fd(), &info, sizeof info);
-    if (bytesRead != sizeof info)
+    const int error = bytesRead < 0 ? errno : 0;
+    if (error == EAGAIN)
       co_await signals.waitReadable({});
+    else if (bytesRead != sizeof info)
+      co_await sched.sleep(kReadRetryInterval); // no event tells when the signal can be read
     else if (info.ssi_signo == SIGHUP)
       reload.request();
     else
