--- a/src/base/net/memory_budget.h
+++ b/src/base/net/memory_budget.h
@@ -4,6 +4,7 @@
 
 #include "base/sched/scheduler.h"
 
+#include <functional>
 #include <utility>
 
 namespace myrtlehead::net {
@@ -39,11 +40,14 @@
   }
   ~MemoryReservation() { release(); }
 
-  // Waits until `bytes` bytes are available and stores their reservation in `out`.
+  // Waits until `bytes` bytes are available beside those that are to be left free for others, and stores
+  // their reservation in `out`. `bytesToLeave` is called again after each notification of
+  // MemoryBudget::released.
   static sched::Task<Result> acquire(sched::Scheduler &scheduler, MemoryBudget &budget, std::size_t bytes,
-                                     sched::Deadline deadline, MemoryReservation &out) {
+                                     sched::Deadline deadline, std::function<std::size_t()> bytesToLeave,
+                                     MemoryReservation &out) {
     if (bytes > budget.capacity_) co_return Result::unavailable;
-    while (!out.tryAcquire(budget, bytes)) {
+    while (budget.available_ < bytes + bytesToLeave() || !out.tryAcquire(budget, bytes)) {
       const auto woken = co_await scheduler.wait(budget.released, deadline);
       if (woken != sched::WakeReason::notified) co_return Result::unavailable;
     }
--- a/src/downstream/client_session.h
+++ b/src/downstream/client_session.h
@@ -142,6 +142,7 @@
   net::Task<AdmissionResult> awaitAdmission(Request &request);
   Nanoseconds clientTimeout(const Request &request) const; // how long the client waits for the answer
   net::Task<> attemptRequest(Request &request);
+  pipelining_limits::RequestPosition positionOfAnswer(const Request &request) const;
   void rejectRequest(Request &request, std::string_view message, Nanoseconds retryAfter = 0);
   void finishRequest(Requests::iterator self);
   void eraseFinishedRequests();
--- a/src/downstream/client_session_requests.cpp
+++ b/src/downstream/client_session_requests.cpp
@@ -86,6 +86,12 @@
   return std::min(request.statement.timeoutMs * kMillisecond, routeTimeout);
 }
 
+// An answer is the first if it can be written as soon as it is complete.
+RequestPosition ClientSession::positionOfAnswer(const Request &request) const {
+  const bool isFirst = beingWritten_ == nullptr && replies_.isFirst(*request.reply);
+  return isFirst ? RequestPosition::first : RequestPosition::behindOthers;
+}
+
 net::Task<> ClientSession::attemptRequest(Request &request) {
   auto &router = listener_.router_;
   const auto &statement = request.statement;
@@ -96,8 +102,11 @@
   while (decision.action == AttemptDecision::forward) {
     const net::Deadline deadline{decision.deadline, &clientGone_};
     auto *endpoint = decision.endpoint;
-    auto result = co_await listener_.pool_.attempt(*endpoint, statement, deadline, decision.sendBy,
-                                                   [&] { return router.isStillCurrent(context); });
+    auto result = co_await listener_.pool_.attempt(
+        *endpoint, statement, deadline, decision.sendBy, [&] { return router.isStillCurrent(context); },
+        [&](std::size_t capacity) {
+          return pipelining_limits::answerMemoryToLeave(positionOfAnswer(request), capacity);
+        });
     listener_.log_.debug("attempt finished", {{"endpoint", endpoint->name},
                                               {"outcome", nameOf(result.outcome)},
                                               {"load_fields", result.loadValues.size()}});
@@ -165,6 +174,7 @@
     beingWritten_ = nullptr;
     if (error != ErrorCode::none) abortConnection();
     answerProgress_.notify();
+    listener_.pool_.recheckAnswerMemory(); // another answer may be the first now
   }
   isWriting_ = false;
   onAllWritten();
--- a/src/downstream/reply_queue.h
+++ b/src/downstream/reply_queue.h
@@ -70,6 +70,8 @@
   }
   // Removes and returns everything up to the first incomplete reply.
   WriteBatch takeComplete();
+  // Whether no reply is ahead of this one, which must be in the queue.
+  bool isFirst(const PendingReply &reply) const { return &replies_.front() == &reply; }
   bool hasId(std::string_view id) const { return downstream::hasId(replies_, id); }
   // The total size of all answers in the queue, in bytes.
   std::size_t byteCount() const;
--- a/src/policy/pipelining_limits.cpp
+++ b/src/policy/pipelining_limits.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kMaxWaitingPerCapacity = 2;
 // A request waits for admission for at most 1/kAdmissionWaitDivisor of its client's timeout.
 constexpr Nanoseconds kAdmissionWaitDivisor = 2;
+// The share of the memory for large answers that only those that can be written next may use.
+constexpr std::size_t kShareOfFirstAnswersDivisor = 2;
 
 } // namespace
 
@@ -18,6 +20,10 @@
   return arrivedAt + clientTimeout / kAdmissionWaitDivisor;
 }
 
+std::size_t answerMemoryToLeave(RequestPosition position, std::size_t capacity) {
+  return position == RequestPosition::first ? 0 : capacity / kShareOfFirstAnswersDivisor;
+}
+
 bool PipeliningLimits::mayStartMessage(const ConnectionUsage &usage) const {
   if (usage.answerBytes >= kMaxAnswerBytesPerConnection) return false;
   if (usage.requests == 0) return true;
--- a/src/policy/pipelining_limits.h
+++ b/src/policy/pipelining_limits.h
@@ -23,6 +23,13 @@
 // rejected, which leaves its client half of the timeout for a retry elsewhere.
 Nanoseconds admissionDeadline(Nanoseconds arrivedAt, Nanoseconds clientTimeout);
 
+// Whether a request is the first in flight on its connection.
+enum class RequestPosition { first, behindOthers };
+
+// How many of `capacity` bytes for large answers the answer to a request must leave free for others. An
+// answer behind others on its connection keeps its memory until those are written, however long that takes.
+std::size_t answerMemoryToLeave(RequestPosition position, std::size_t capacity);
+
 // The admission state of one request. The ticket must not move while PipeliningLimits refers to it.
 struct AdmissionTicket {
   enum State { notRequested, waiting, admitted } state = notRequested;
@@ -30,9 +37,6 @@
   std::list<AdmissionTicket *>::iterator queuePosition; // valid only in state `waiting`
 };
 
-// Whether a request is the first in flight on its connection.
-enum class RequestPosition { first, behindOthers };
-
 // Bounds the number of requests that are attempted concurrently. The first request in flight on a connection
 // is always admitted, because the number of connections is bounded separately. Requests behind the first are
 // admitted in order of arrival while capacity is left.
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -79,7 +79,8 @@
 
 net::Task<AttemptResult> ConnectionPool::attempt(const UpstreamEndpoint &endpoint,
                                                  const pg::Statement &statement, net::Deadline deadline,
-                                                 Nanoseconds sendBy, std::function<bool()> isStillCurrent) {
+                                                 Nanoseconds sendBy, std::function<bool()> isStillCurrent,
+                                                 AnswerMemoryToLeave memoryToLeave) {
   AttemptResult out;
   auto connection = takeIdle(endpoint);
   if (connection == nullptr) {
@@ -100,7 +101,7 @@
   }
   std::string query;
   pg::addQuery(query, pg::textWithTimeout(statement, forwardedTimeoutMs(deadline.at - sched_.now())));
-  const auto failure = co_await exchange(*connection, std::move(query), deadline, sendBy, out);
+  const auto failure = co_await exchange(*connection, std::move(query), deadline, sendBy, memoryToLeave, out);
   if (failure.cause != ErrorCode::none)
     out.outcome = outcomeOf(failure);
   else
@@ -156,7 +157,8 @@
 // answer in the expected form is passed on. If anything else arrives, the statement may have been executed,
 // and the attempt fails.
 net::Task<Failure> ConnectionPool::exchange(Connection &connection, std::string query, net::Deadline deadline,
-                                            Nanoseconds sendBy, AttemptResult &out) {
+                                            Nanoseconds sendBy, const AnswerMemoryToLeave &memoryToLeave,
+                                            AttemptResult &out) {
   const net::Deadline writeDeadline{std::min(deadline.at, sendBy), deadline.cancellation};
   const auto written = co_await connection.socket->write(query, writeDeadline);
   if (written != ErrorCode::none) co_return Failure{written, SendProgress::partlyWritten};
@@ -168,8 +170,9 @@
     if (part == pg::ReplyValidator::incomplete) {
       const auto size = pg::announcedSize(buffer.view());
       if (size > kSmallMessageBytes && !out.memory.isAcquired()) {
+        auto bytesToLeave = [&] { return memoryToLeave(answerMemory_.capacity()); };
         const auto reserved = co_await net::MemoryReservation::acquire(sched_, answerMemory_, size, deadline,
-                                                                       out.memory);
+                                                                       std::move(bytesToLeave), out.memory);
         if (reserved != net::MemoryReservation::Result::acquired)
           co_return Failure{ErrorCode::timedOut, SendProgress::responseStarted};
         // One allocation for the whole message.
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -33,6 +33,10 @@
 // result is empty if a value is missing or is not a number from 0 to 1,000,000.
 std::vector<float> parseLoadReport(std::string_view text, const std::vector<std::string> &names);
 
+// Returns how many of the `capacity` bytes for large answers an answer must leave free for others now.
+using AnswerMemoryToLeave = std::function<std::size_t(std::size_t capacity)>;
+inline std::size_t leaveNoMemory(std::size_t) { return 0; }
+
 class ConnectionPool {
 public:
   // `maxIdleTime` is the time after which endpoints close idle connections; connections are reused for half
@@ -47,9 +51,13 @@
 
   // Makes one attempt. Calls `isStillCurrent` directly before the statement is written. The outcome is
   // notSent if that returns false or `sendBy` has passed. After `sendBy` no byte of the statement is written.
+  // A large answer waits until its memory, and what `memoryToLeave` tells, are free.
   net::Task<AttemptResult> attempt(const UpstreamEndpoint &endpoint, const pg::Statement &statement,
                                    net::Deadline deadline, Nanoseconds sendBy,
-                                   std::function<bool()> isStillCurrent);
+                                   std::function<bool()> isStillCurrent,
+                                   AnswerMemoryToLeave memoryToLeave = leaveNoMemory);
+  // To be called when some `memoryToLeave` may return less than before.
+  void recheckAnswerMemory() { answerMemory_.released.notify(); }
   // Periodically closes connections that have been idle too long or have ended. Never returns.
   net::Task<> sweepIdleConnections();
   // Closes the connection that has been idle longest, to free its descriptor. Returns false if none is idle.
@@ -80,7 +88,8 @@
                                                           net::Deadline deadline);
   net::Task<net::Failure> handshake(Connection &connection, net::Deadline deadline);
   net::Task<net::Failure> exchange(Connection &connection, std::string query, net::Deadline deadline,
-                                   Nanoseconds sendBy, AttemptResult &out);
+                                   Nanoseconds sendBy, const AnswerMemoryToLeave &memoryToLeave,
+                                   AttemptResult &out);
   bool addToAnswer(Connection &connection, pg::ReplyValidator::MessageKind part, const pg::Message &message,
                    AttemptResult &out);
   net::Task<net::Failure> confirmAnswer(Connection &connection, net::Deadline deadline, AttemptResult &out);
