--- a/src/downstream/client_session.h
+++ b/src/downstream/client_session.h
@@ -142,6 +142,11 @@
   net::Task<AdmissionResult> awaitAdmission(Request &request);
   Nanoseconds clientTimeout(const Request &request) const; // how long the client waits for the answer
   net::Task<> attemptRequest(Request &request);
+  net::Task<upstream::AttemptResult> attemptOnce(Request &request, const RequestContext &context,
+                                                 const AttemptDecision &decision);
+  void reportException(const std::exception &error) const;
+  // Answers that the request has failed and may have been executed.
+  void failRequest(Request &request);
   pipelining_limits::RequestPosition positionOfAnswer(const Request &request) const;
   void rejectRequest(Request &request, std::string_view message, Nanoseconds retryAfter = 0);
   void finishRequest(Requests::iterator self);
--- a/src/downstream/client_session_requests.cpp
+++ b/src/downstream/client_session_requests.cpp
@@ -53,8 +53,8 @@
     const auto admission = co_await awaitAdmission(request);
     if (admission == AdmissionResult::admitted) co_await attemptRequest(request);
   } catch (const std::exception &error) {
-    if (listener_.sched_.onUncaughtException) listener_.sched_.onUncaughtException(error.what());
-    abortConnection(); // without this answer, none of the later ones can be written
+    reportException(error);
+    failRequest(request);
   }
   finishRequest(self);
   co_await flush();
@@ -100,13 +100,8 @@
                          request.arrivedAt);
   auto decision = co_await router.nextAttempt(context, clientGone_);
   while (decision.action == AttemptDecision::forward) {
-    const net::Deadline deadline{decision.deadline, &clientGone_};
     auto *endpoint = decision.endpoint;
-    auto result = co_await listener_.pool_.attempt(
-        *endpoint, statement, deadline, decision.sendBy, [&] { return router.isStillCurrent(context); },
-        [&](std::size_t capacity) {
-          return pipelining_limits::answerMemoryToLeave(positionOfAnswer(request), capacity);
-        });
+    auto result = co_await attemptOnce(request, context, decision);
     listener_.log_.debug("attempt finished", {{"endpoint", endpoint->name},
                                               {"outcome", nameOf(result.outcome)},
                                               {"load_fields", result.loadValues.size()}});
@@ -131,8 +126,37 @@
     rejectRequest(request, "overloaded or no usable endpoint; the request can be retried safely",
                   decision.retryAfter);
   else if (decision.action == AttemptDecision::fail)
-    pg::addError(reply.text,
-                 {"ERROR", "XX000", "no endpoint answered successfully; the request may have been executed"});
+    failRequest(request);
+}
+
+// Makes one attempt. An exception, as when memory can't be allocated, counts as a lost connection: the
+// request may have been executed.
+net::Task<upstream::AttemptResult> ClientSession::attemptOnce(Request &request, const RequestContext &context,
+                                                              const AttemptDecision &decision) {
+  const net::Deadline deadline{decision.deadline, &clientGone_};
+  const auto isStillCurrent = [&] { return listener_.router_.isStillCurrent(context); };
+  const auto memoryToLeave = [&](std::size_t capacity) {
+    return pipelining_limits::answerMemoryToLeave(positionOfAnswer(request), capacity);
+  };
+  try {
+    co_return co_await listener_.pool_.attempt(*decision.endpoint, request.statement, deadline,
+                                               decision.sendBy, isStillCurrent, memoryToLeave);
+  } catch (const std::exception &error) {
+    reportException(error);
+  }
+  upstream::AttemptResult lost;
+  lost.outcome = Outcome::reset;
+  co_return lost;
+}
+
+void ClientSession::reportException(const std::exception &error) const {
+  if (listener_.sched_.onUncaughtException) listener_.sched_.onUncaughtException(error.what());
+}
+
+void ClientSession::failRequest(Request &request) {
+  request.reply->text.clear(); // a part of another answer, if it could not be completed
+  pg::addError(request.reply->text,
+               {"ERROR", "XX000", "no endpoint answered successfully; the request may have been executed"});
 }
 
 void ClientSession::rejectRequest(Request &request, std::string_view message, Nanoseconds retryAfter) {
