--- a/tests/system_call_failures_test.cpp
+++ b/tests/system_call_failures_test.cpp
@@ -45,6 +45,7 @@
   if (void *const allocated = std::malloc(size)) return allocated;
   throw std::bad_alloc();
 }
+void *operator new(std::size_t size, const std::nothrow_t &) noexcept { return std::malloc(size); }
 [[gnu::noinline]] void operator delete(void *allocated) noexcept { std::free(allocated); }
 [[gnu::noinline]] void operator delete(void *allocated, std::size_t) noexcept { std::free(allocated); }
 
