--- a/src/base/http_client/exchange.cpp
+++ b/src/base/http_client/exchange.cpp
@@ -54,6 +54,15 @@
   return isComplete_ ? ErrorCode::closedByPeer : ErrorCode::none;
 }
 
+void Exchange::readAvailable() {
+  if (socket_ == nullptr || head_.status == 0) return;
+  auto error = ErrorCode::none;
+  while (error == ErrorCode::none && !isComplete_) {
+    error = socket_->tryRead(buffer_);
+    if (error == ErrorCode::none) error = decodeBody();
+  }
+}
+
 net::Task<ErrorCode> Exchange::readMore(net::Deadline until) {
   const auto sizeBefore = body.size();
   while (!isComplete_) {
--- a/src/base/http_client/exchange.h
+++ b/src/base/http_client/exchange.h
@@ -17,6 +17,8 @@
   // Waits until at least one byte has been appended to `body`. Returns ErrorCode::closedByPeer if the body is
   // complete.
   net::Task<net::ErrorCode> readMore(net::Deadline until);
+  // Appends to `body` what has arrived, without waiting. Has no effect before sendRequest() has succeeded.
+  void readAvailable();
 
   const http::Head &head() const { return head_; }
 
--- a/src/control/rollout/rollout_client.cpp
+++ b/src/control/rollout/rollout_client.cpp
@@ -88,6 +88,7 @@
     const net::Deadline eventDeadline{sched_.now() + kStreamIdleTimeout, cancellation.get()};
     cause = co_await exchange.readMore(eventDeadline);
   }
+  if (cancellation->isCancelled()) handleLastStates(exchange);
   openStreams_.erase(number);
   const bool isLatest = number == latestStream_;
   if (!isLatest) co_return;
@@ -110,6 +111,16 @@
   return net::ErrorCode::none;
 }
 
+// Handles the rollout states that had arrived on a stream when a newer stream took its place. They have been
+// told, and may be newer than what the newer stream tells. Reports of wrong answers are left out, because the
+// newer stream may deliver them, too.
+void RolloutClient::handleLastStates(http_client::Exchange &exchange) {
+  exchange.readAvailable();
+  http::Event event;
+  while (http::takeEvent(exchange.body, event) == http::EventStatus::event)
+    if (event.name == "stage" && handleEvent(event) == EventResult::unreadable) return;
+}
+
 RolloutClient::EventResult RolloutClient::handleEvent(const http::Event &event) {
   http::Fields fields;
   if (!http::parseForm(event.data, fields)) return EventResult::unreadable;
--- a/src/control/rollout/rollout_client.h
+++ b/src/control/rollout/rollout_client.h
@@ -38,6 +38,7 @@
   net::Task<> readStream(StreamNumber number, std::shared_ptr<sched::CancellationToken> cancellation);
   net::ErrorCode handleEvents(StreamNumber number, const sched::CancellationToken &cancellation,
                               std::string &received);
+  void handleLastStates(http_client::Exchange &exchange);
   EventResult handleEvent(const http::Event &event);
   EventResult handleRolloutState(const http::Fields &fields);
   EventResult handleWrongAnswer(const http::Fields &fields);
--- a/tests/rollout_client_test.cpp
+++ b/tests/rollout_client_test.cpp
@@ -163,3 +163,39 @@
     fixture.loop.run(body());
   }
 }
+
+// Guards against news that is lost with the stream on which the platform wrote it, because a newer stream,
+// from an address that lags behind, has delivered its first state in the same scheduler round.
+TEST_CASE("news on a stream is handled although a newer stream takes its place before it is read") {
+  EventLoop *loop = nullptr;
+  net::Socket *newStream = nullptr;
+  bool isNewsWritten = false;
+  const auto onTrial = kChunkedResponseHead + stageEvent(kOnTrial);
+  const auto moved = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await readRequestLine(s, b);
+    newStream = &s;
+    co_await s.read(b, {}); // until the client closes the connection
+  };
+  const auto first = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await readRequestLine(s, b);
+    co_await s.write(onTrial, {});
+    while (newStream == nullptr) co_await loop->sched.sleep(kMillisecond);
+    REQUIRE(newStream->tryWrite(onTrial)); // readable before the older stream
+    REQUIRE(s.tryWrite(stageEvent(kRollingBack)));
+    isNewsWritten = true;
+    co_await s.read(b, {});
+  };
+  ControlFixture fixture(first);
+  ScriptedServer other(fixture.loop, moved);
+  loop = &fixture.loop;
+  const auto body = [&]() -> sched::Task<> {
+    fixture.loop.sched.spawn(fixture.rolloutClient.followEventStream());
+    co_await fixture.loop.sched.sleep(20 * kMillisecond);
+    fixture.rolloutClient.moveTo(*net::parseAddress(other.address()));
+    while (!isNewsWritten) co_await fixture.loop.sched.sleep(kMillisecond);
+    co_await fixture.loop.sched.sleep(20 * kMillisecond);
+    const bool forwards = co_await forwardsToBuild2(fixture);
+    REQUIRE(!forwards);
+  };
+  fixture.loop.run(body());
+}
