--- a/src/base/http_client/persistent_connection.cpp
+++ b/src/base/http_client/persistent_connection.cpp
@@ -105,6 +105,7 @@
     const auto woken = co_await sched_.wait(call.finishedEvent, until);
     // The response may have arrived in the same scheduler round as the deadline.
     if (woken == sched::WakeReason::notified || call.isFinished) continue;
+    call.hasTimedOut = true;
     connection.hasTimedOutCall = true;
     if (connection.isReplaced) connection.socket->shutdown();
     co_return Failure{ErrorCode::timedOut, SendProgress::fullyWritten};
@@ -125,6 +126,7 @@
     pending->response = std::move(response);
     pending->isFinished = true;
     pending->finishedEvent.notify();
+    if (pending->hasTimedOut && onLateResponse) onLateResponse(pending->response);
     if (connection->isReplaced && connection->pending.empty()) break;
   }
   connection->hasEnded = true;
--- a/src/base/http_client/persistent_connection.h
+++ b/src/base/http_client/persistent_connection.h
@@ -6,6 +6,9 @@
 #include "format/http/http.h"
 
 #include <deque>
+#include <functional>
+#include <memory>
+#include <string>
 
 namespace myrtlehead::http_client {
 
@@ -32,11 +35,15 @@
   // further bytes could be taken for the response to a later call.
   void discard();
 
+  // Called with each response that arrives after its call has timed out. May be empty.
+  std::function<void(const Response &)> onLateResponse;
+
 private:
   // A call in flight.
   struct PendingCall {
     sched::Event finishedEvent;
     bool isFinished = false;
+    bool hasTimedOut = false; // call() has returned
     net::Failure failure; // `response` is valid if the cause is ErrorCode::none
     Response response;
   };
--- a/src/control/rollout/rollout_client.cpp
+++ b/src/control/rollout/rollout_client.cpp
@@ -18,6 +18,14 @@
 }
 } // namespace
 
+RolloutClient::RolloutClient(net::Scheduler &sched, net::DescriptorBudget &budget, Router &router,
+                             log::Log &log, net::Address address, std::vector<std::string> routes,
+                             Nanoseconds callTimeout)
+    : sched_(sched), budget_(budget), router_(router), log_(log), address_(address),
+      routes_(std::move(routes)), connection_(sched, budget, address), callTimeout_(callTimeout) {
+  connection_.onLateResponse = [this](const http_client::Response &late) { handleLateResponse(late); };
+}
+
 net::Task<> RolloutClient::sendVotes() {
   for (;;) {
     const auto vote = co_await router_.nextVote();
@@ -47,6 +55,12 @@
   co_return VoteAnswer{reply, {}};
 }
 
+// The vote is over, but the rollout state in its answer has been told all the same.
+void RolloutClient::handleLateResponse(const http_client::Response &response) {
+  const auto answer = readVoteAnswer(response.status, response.body);
+  if (answer && answer->state) router_.onRolloutState(*answer->state);
+}
+
 // Opens a stream, and a further one whenever the latest one has ended or the platform has a new address.
 net::Task<> RolloutClient::followEventStream() {
   for (;;) {
--- a/src/control/rollout/rollout_client.h
+++ b/src/control/rollout/rollout_client.h
@@ -17,9 +17,7 @@
 public:
   // `routes`: the names of the routes. `callTimeout`: the time limit for the answer to a vote.
   RolloutClient(net::Scheduler &sched, net::DescriptorBudget &budget, Router &router, log::Log &log,
-                net::Address address, std::vector<std::string> routes, Nanoseconds callTimeout)
-      : sched_(sched), budget_(budget), router_(router), log_(log), address_(address),
-        routes_(std::move(routes)), connection_(sched, budget, address), callTimeout_(callTimeout) {}
+                net::Address address, std::vector<std::string> routes, Nanoseconds callTimeout);
 
   // These coroutines run for the lifetime of the instance.
   net::Task<> sendVotes();
@@ -35,6 +33,7 @@
   using StreamNumber = std::uint64_t;
   enum class EventResult { handled, unreadable };
 
+  void handleLateResponse(const http_client::Response &response);
   net::Task<> readStream(StreamNumber number, std::shared_ptr<sched::CancellationToken> cancellation);
   net::ErrorCode handleEvents(StreamNumber number, const sched::CancellationToken &cancellation,
                               std::string &received);
--- a/tests/rollout_client_test.cpp
+++ b/tests/rollout_client_test.cpp
@@ -199,3 +199,34 @@
   };
   fixture.loop.run(body());
 }
+
+// Guards against news that is lost because the answer to a vote, which tells it, arrives after the call's
+// timeout.
+TEST_CASE("news in an answer to a vote is handled although the call has timed out") {
+  EventLoop *loop = nullptr;
+  bool isAnswered = false;
+  const auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+    co_await readRequestLine(s, b);
+    co_await loop->sched.sleep(150 * kMillisecond); // the fixture's timeout is 100 ms
+    std::string body = kRolloutStateXml;
+    body.replace(body.find("Progressing"), std::string_view("Progressing").size(), "Aborting");
+    body.replace(body.find("0.5"), std::string_view("0.5").size(), "0");
+    const auto head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    const auto answer = head + body;
+    co_await s.write(answer, {});
+    isAnswered = true;
+    co_await s.read(b, {});
+  };
+  ControlFixture fixture(script);
+  loop = &fixture.loop;
+  const auto body = [&]() -> sched::Task<> {
+    fixture.router.onRolloutState({2, 1, RolloutPhase::evaluating, 0.5, 20 * kSecond});
+    const auto answer = co_await fixture.rolloutClient.castVote({Verdict::promote, 2, 1});
+    REQUIRE(answer.reply == VoteReply::timedOut);
+    while (!isAnswered) co_await fixture.loop.sched.sleep(kMillisecond);
+    co_await fixture.loop.sched.sleep(20 * kMillisecond);
+    const bool forwards = co_await forwardsToBuild2(fixture);
+    REQUIRE(!forwards);
+  };
+  fixture.loop.run(body());
+}
