--- a/src/base/http_client/persistent_connection.h
+++ b/src/base/http_client/persistent_connection.h
@@ -44,7 +44,7 @@
     sched::Event finishedEvent;
     bool isFinished = false;
     bool hasTimedOut = false; // call() has returned
-    net::Failure failure; // `response` is valid if the cause is ErrorCode::none
+    net::Failure failure;     // `response` is valid if the cause is ErrorCode::none
     Response response;
   };
   struct Connection {
