--- a/src/base/net/socket.cpp
+++ b/src/base/net/socket.cpp
@@ -56,11 +56,11 @@
   throw std::system_error(error, std::generic_category(), operation + formatAddress(address));
 }
 
-// Returns nullptr, and leaves `fd` open, if the descriptor can't be registered with epoll.
+// Returns nullptr, and leaves `fd` open, if the descriptor can't be registered with epoll or memory is short.
 std::unique_ptr<Socket> makeSocket(Scheduler &sched, DescriptorBudget &budget, int fd) {
   try {
     return std::make_unique<Socket>(sched, budget, fd);
-  } catch (const std::system_error &) {
+  } catch (const std::exception &) {
     return nullptr;
   }
 }
--- a/src/downstream/client_session.cpp
+++ b/src/downstream/client_session.cpp
@@ -117,22 +117,35 @@
                             "too many client connections; the request can be retried safely");
     co_return;
   }
+  bool hasFailed = false;
+  try {
+    co_await serveMessages();
+  } catch (const std::exception &error) {
+    reportException(error);
+    hasFailed = true;
+  }
+  if (hasFailed)
+    co_await closeWithError(kRetriableSqlState, "out of memory; the request can be retried safely");
+  else
+    co_await drain();
+}
+
+net::Task<> ClientSession::serveMessages() {
   pg::Message message;
   for (unsigned n = 1;; ++n) {
     const auto next = co_await nextMessage(message);
-    if (next == SessionFlow::end) break;
+    if (next == SessionFlow::end) co_return;
     if (n % kMessagesPerTurn == 0) co_await throttle();
     const auto size = message.size;
     const auto handled = co_await handleMessage(message);
-    if (handled == SessionFlow::end) break;
+    if (handled == SessionFlow::end) co_return;
     buffer_.consume(size);
     buffer_.shrink(kSmallMessageBytes);
     memory_.release();
     eraseFinishedRequests();
     const auto client = co_await awaitUsageWithinLimits();
-    if (client == ClientState::gone) break;
+    if (client == ClientState::gone) co_return;
   }
-  co_await drain();
 }
 
 // Returns once another message may be started, or the client is gone.
--- a/src/downstream/client_session.h
+++ b/src/downstream/client_session.h
@@ -106,6 +106,7 @@
   std::list<ClientSession *> &sessionsIn(ReclaimList list);
   void requestCloseNow();
   net::Task<SessionFlow> startUp(Nanoseconds within);
+  net::Task<> serveMessages(); // until the client sends no more
   net::Task<> closeGracefully();
   net::Task<> closeAtShutdown();
   net::Task<ClientState> awaitUsageWithinLimits();
@@ -133,10 +134,13 @@
   bool isOpenOnThisConnection(std::string_view id) const;
   net::Task<ClientState> awaitRequestIdFree(const pg::Statement &statement);
   void answerStatement(const pg::Statement &statement);
+  net::Task<SessionFlow> handleQuery(std::string_view body);
+  void refuseForMemory();
   void replyWithError(std::string_view code, std::string_view message,
                       ReadyForQuery ready = ReadyForQuery::atOnce);
 
-  // Requests in flight and their answers.
+  // Requests in flight and their answers. If startRequest() throws std::bad_alloc, the request is not
+  // started.
   void startRequest(const pg::Statement &parsed, int route);
   net::Task<> serveRequest(Requests::iterator self);
   net::Task<AdmissionResult> awaitAdmission(Request &request);
--- a/src/downstream/client_session_messages.cpp
+++ b/src/downstream/client_session_messages.cpp
@@ -2,6 +2,7 @@
 #include "downstream/client_session.h"
 
 #include <algorithm>
+#include <new>
 #include <utility>
 
 namespace myrtlehead::downstream {
@@ -14,6 +15,32 @@
   if (ready == ReadyForQuery::atOnce) pg::addReadyForQuery(out);
 }
 
+// Answers a request that was not started, because there is no memory for it.
+void ClientSession::refuseForMemory() {
+  auto &out = replies_.tail();
+  pg::addError(out,
+               {"ERROR", kRetriableSqlState, "too many large requests; the request can be retried safely"});
+  pg::addReadyForQuery(out);
+}
+
+net::Task<SessionFlow> ClientSession::handleQuery(std::string_view body) {
+  std::string_view sql;
+  const bool isComplete = pg::takeCString(body, sql) && body.empty();
+  if (!isComplete) {
+    co_await failConnection("a Query message must contain exactly one zero-terminated string");
+    co_return SessionFlow::end;
+  }
+  try {
+    const auto statement = pg::parseStatement(sql);
+    const auto client = co_await awaitRequestIdFree(statement);
+    if (client == ClientState::gone) co_return SessionFlow::end;
+    answerStatement(statement);
+  } catch (const std::bad_alloc &) {
+    refuseForMemory();
+  }
+  co_return SessionFlow::proceed;
+}
+
 net::Task<SessionFlow> ClientSession::handleMessage(pg::Message message) {
   constexpr std::string_view kExtendedQueryTypes = "PBDECHF";
   const bool isDiscarded = std::exchange(discarded_, std::nullopt).has_value();
@@ -27,23 +54,11 @@
   switch (message.type) {
   case 'Q': {
     if (isDiscarded) {
-      auto &out = replies_.tail();
-      pg::addError(
-          out, {"ERROR", kRetriableSqlState, "too many large requests; the request can be retried safely"});
-      pg::addReadyForQuery(out);
+      refuseForMemory();
       co_return SessionFlow::proceed;
     }
-    std::string_view body = message.body, sql;
-    const bool isComplete = pg::takeCString(body, sql) && body.empty();
-    if (!isComplete) {
-      co_await failConnection("a Query message must contain exactly one zero-terminated string");
-      co_return SessionFlow::end;
-    }
-    const auto statement = pg::parseStatement(sql);
-    const auto client = co_await awaitRequestIdFree(statement);
-    if (client == ClientState::gone) co_return SessionFlow::end;
-    answerStatement(statement);
-    co_return SessionFlow::proceed;
+    const auto handled = co_await handleQuery(message.body);
+    co_return handled;
   }
   case 'S': {
     isSkippingToSync_ = false;
--- a/src/downstream/client_session_reading.cpp
+++ b/src/downstream/client_session_reading.cpp
@@ -3,6 +3,7 @@
 #include "downstream/client_session.h"
 
 #include <algorithm>
+#include <new>
 #include <utility>
 
 namespace myrtlehead::downstream {
@@ -144,7 +145,11 @@
   }
   readState_ = ReadState::receivingMessage;
   memoryHeldSince_ = listener_.sched_.now();
-  buffer_.reserve(needed); // one allocation for the whole message
+  try {
+    buffer_.reserve(needed); // one allocation for the whole message
+  } catch (const std::bad_alloc &) {
+    discardPartialMessage();
+  }
 }
 
 Nanoseconds ClientSession::memoryReclaimableAt() const {
--- a/src/downstream/client_session_requests.cpp
+++ b/src/downstream/client_session_requests.cpp
@@ -28,22 +28,24 @@
   // Two open requests must not share an id, because their answers could not be told apart.
   const auto [id, isFree] = listener_.openRequestIds_.emplace(parsed.id);
   if (!isFree) return replyWithError("42710", "another request with the same id is in progress");
-  phase_ = Phase::used;
-  auto &request = requests_.emplace_back();
-  const auto self = std::prev(requests_.end());
+  OpenRequestId openId(listener_.openRequestIds_, id);
+  Requests started; // joins the requests in flight once its memory is allocated
+  auto &request = started.emplace_back();
   request.text = parsed.text;
   request.statement = pg::rebindStatement(parsed, request.text);
   request.route = route;
   request.arrivedAt = lastReadAt_;
+  request.ticket.onAdmitted = [&request] { request.admitted.notify(); };
+  request.task.emplace(serveRequest(started.begin()));
+  request.reply = &replies_.addReply();
+  request.reply->id = std::move(openId);
+  phase_ = Phase::used;
   requestBytes_ += request.text.size();
   request.memory = std::move(memory_);
   request.memory.shrink(request.text.size());
-  request.reply = &replies_.addReply();
-  request.reply->id = OpenRequestId(listener_.openRequestIds_, id);
-  request.ticket.onAdmitted = [&request] { request.admitted.notify(); };
+  requests_.splice(requests_.end(), started);
   const auto position = requests_.size() == 1 ? RequestPosition::first : RequestPosition::behindOthers;
   listener_.pipeliningLimits_.requestAdmission(request.ticket, position);
-  request.task.emplace(serveRequest(self));
   request.task->start(); // runs the coroutine up to its first wait
 }
 
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -4,6 +4,7 @@
 #include "policy/message_memory.h"
 
 #include <algorithm>
+#include <new>
 
 namespace myrtlehead::downstream {
 
@@ -126,12 +127,14 @@
 }
 
 // Adds the session to sessions_ before its coroutine runs, so that a shutdown in the same scheduler round
-// finds it.
-void Listener::startSession(std::unique_ptr<net::Socket> accepted) {
+// finds it. A connection for which there is no memory is closed, and further ones are accepted.
+void Listener::startSession(std::unique_ptr<net::Socket> accepted) try {
   const auto decision = ensureDescriptorForConnection() ? ConnectionDecision::serve
                                                         : ConnectionDecision::reject;
   auto session = std::make_unique<ClientSession>(*this, std::move(accepted), ++sessionCount_);
   sched_.spawn(runSession(std::move(session), decision));
+} catch (const std::bad_alloc &) {
+  log_.error("a client connection was closed: no memory for it");
 }
 
 net::Task<> Listener::acceptConnections() {
--- a/src/downstream/reply_queue.cpp
+++ b/src/downstream/reply_queue.cpp
@@ -5,6 +5,10 @@
 
 namespace myrtlehead::downstream {
 
+namespace {
+constexpr std::size_t kMaxJoinedBytes = 16 * 1024; // of a batch with several replies
+}
+
 bool hasId(const std::deque<PendingReply> &replies, std::string_view id) {
   return std::any_of(replies.begin(), replies.end(),
                      [id](const PendingReply &reply) { return reply.id.equals(id); });
@@ -15,6 +19,8 @@
   out.text = std::exchange(leadingText_, {});
   while (!replies_.empty() && replies_.front().isComplete) {
     auto &reply = replies_.front();
+    const auto size = out.text.size() + reply.text.size() + reply.trailingText.size();
+    if (!out.text.empty() && size > kMaxJoinedBytes) break; // without a second copy of a large answer
     if (out.text.empty())
       out.text = std::move(reply.text);
     else
--- a/src/downstream/reply_queue.h
+++ b/src/downstream/reply_queue.h
@@ -68,7 +68,8 @@
   bool hasBytesToWrite() const {
     return !leadingText_.empty() || (!replies_.empty() && replies_.front().isComplete);
   }
-  // Removes and returns everything up to the first incomplete reply.
+  // Removes and returns what may be written next: replies up to the first incomplete one, or a single large
+  // one.
   WriteBatch takeComplete();
   // Whether no reply is ahead of this one, which must be in the queue.
   bool isFirst(const PendingReply &reply) const { return &replies_.front() == &reply; }
