--- a/src/downstream/client_session.cpp
+++ b/src/downstream/client_session.cpp
@@ -36,6 +36,7 @@
 
 std::list<ClientSession *> &ClientSession::sessionsIn(ReclaimList list) {
   if (list == ReclaimList::closing) return listener_.closing_;
+  if (list == ReclaimList::receiving) return listener_.receiving_;
   return list == ReclaimList::unused ? listener_.unused_ : listener_.idle_;
 }
 
--- a/src/downstream/client_session.h
+++ b/src/downstream/client_session.h
@@ -70,7 +70,7 @@
     finalReadDone // closeToken_ is cancelled, and the bytes that had arrived by then have been read
   };
   // The listener's list of connections that may be closed in which the session is.
-  enum class ReclaimList { closing, unused, idle, none };
+  enum class ReclaimList { closing, unused, receiving, idle, none };
   // Whether ReadyForQuery follows an error at once, or is sent in answer to Sync.
   enum class ReadyForQuery { atOnce, afterSync };
   enum class AdmissionResult { admitted, rejected, clientGone };
@@ -122,7 +122,7 @@
   pg::ParseStatus parseNextMessage(pg::Message &out);
   bool hasPartialMessage() const { return !buffer_.empty() || discarded_; }
   net::Task<ClientState> writeAnswersBeforeRead();
-  void listWhileReading();
+  ReclaimList listWhileReading() const;
   net::Task<net::ErrorCode> readMore(std::optional<Nanoseconds> deadline);
   net::Task<net::ErrorCode> readFinalMessage(std::optional<Nanoseconds> deadline);
   Nanoseconds deadlineOfPartialMessage(std::optional<Nanoseconds> current) const;
--- a/src/downstream/client_session_reading.cpp
+++ b/src/downstream/client_session_reading.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Nanoseconds kMessageTimeout = 2 * kSecond; // for the rest of a partly received message
+// The same if the connection is to be closed for its descriptor.
+constexpr Nanoseconds kMinMessageTime = kSecond / 4;
 // For the rest of a connection's first message, counted from when the connection was opened.
 constexpr Nanoseconds kFirstMessageTimeout = 5 * kSecond / 2;
 
@@ -25,6 +27,7 @@
     const auto parsed = parseNextMessage(out);
     const bool isPartial = parsed == pg::ParseStatus::incomplete && hasPartialMessage();
     readState_ = isPartial ? ReadState::receivingMessage : ReadState::notReading;
+    if (parsed != pg::ParseStatus::incomplete) moveToList(ReclaimList::none);
     if (parsed == pg::ParseStatus::complete) co_return SessionFlow::proceed;
     if (parsed == pg::ParseStatus::malformed) {
       co_await failConnection("message length is invalid or above the limit");
@@ -33,10 +36,10 @@
     const auto client = co_await writeAnswersBeforeRead();
     if (client == ClientState::gone) co_return SessionFlow::end;
     if (hasPartialMessage()) deadline = deadlineOfPartialMessage(deadline);
-    listWhileReading();
+    moveToList(listWhileReading());
     co_await reserveMessageMemory(deadline);
     const auto error = co_await readMore(deadline);
-    moveToList(ReclaimList::none);
+    if (error != ErrorCode::none) moveToList(ReclaimList::none);
     if (error == ErrorCode::timedOut) co_await closeUnread();
     if (error != ErrorCode::none) co_return SessionFlow::end;
     lastReadAt_ = listener_.sched_.now();
@@ -64,11 +67,15 @@
   co_return co_await drain();
 }
 
-// Adds the session to the list of connections that may be closed in which it belongs before a read. A
-// connection without a valid statement may be closed for a new one, as before its startup message.
-void ClientSession::listWhileReading() {
-  const bool isIdle = !hasPartialMessage() && requests_.empty() && !isWriting_;
-  moveToList(isIdle ? ReclaimList::idle : hasBeenUsed() ? ReclaimList::none : ReclaimList::unused);
+// Returns the list of connections that may be closed to which the session belongs before a read. A connection
+// without a valid statement may be closed for a new one, as before its startup message. A session stays in
+// its list while the parts of a message arrive, so that a client that sends a byte at a time is no exception.
+ClientSession::ReclaimList ClientSession::listWhileReading() const {
+  if (closeToken_.isCancelled()) return ReclaimList::none;
+  const bool isQuiet = requests_.empty() && !isWriting_;
+  if (isQuiet && !hasPartialMessage()) return ReclaimList::idle;
+  if (!hasBeenUsed()) return ReclaimList::unused;
+  return isQuiet ? ReclaimList::receiving : ReclaimList::none;
 }
 
 // Waits for further bytes. `deadline` is that of the message, if a part of it has arrived. Returns timedOut
@@ -105,8 +112,10 @@
     closeRequest_ = CloseRequest::finalReadDone;
     co_return socket_->tryRead(buffer_);
   }
-  const net::Deadline until{deadline.value_or(listener_.shutdown_.partialMessageDeadline()), nullptr};
-  const auto error = co_await socket_->read(buffer_, until);
+  const auto &shutdown = listener_.shutdown_;
+  auto until = deadline.value_or(shutdown.partialMessageDeadline());
+  if (deadline && !shutdown.isInProgress()) until = *deadline - kMessageTimeout + kMinMessageTime;
+  const auto error = co_await socket_->read(buffer_, {until, nullptr});
   co_return error;
 }
 
--- a/src/downstream/client_session_requests.cpp
+++ b/src/downstream/client_session_requests.cpp
@@ -217,11 +217,12 @@
   co_return client;
 }
 
-// Marks the connection as idle, or closes it if that was requested, once nothing is in flight.
+// Lists the connection as one that may be closed, or closes it if that was requested, once nothing is in
+// flight.
 void ClientSession::onAllWritten() {
   if (!requests_.empty()) return;
   if (closeRequest_ != CloseRequest::none) requestCloseNow();
-  if (readState_ == ReadState::awaitingMessage) moveToList(ReclaimList::idle);
+  if (readState_ != ReadState::notReading) moveToList(listWhileReading());
 }
 
 } // namespace myrtlehead::downstream
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -75,7 +75,8 @@
 
 // Closes one connection without a request, so that a client with a request is not rejected: a client reopens
 // a closed connection, but a rejected request is lost. Closing connections are preferred, then connections
-// that have been idle for the time the protocol requires, then unused ones, then any idle one. Limitation: if
+// that have been idle for the time the protocol requires, then unused ones, then those whose client has
+// stopped inside a message, then any idle one. Limitation: if
 // many clients send requests in turn, each on its own connection, they often have to reconnect.
 Listener::Reclaim Listener::closeOneIdle() {
   const auto closeOldestOf = [&](std::list<ClientSession *> &list, Nanoseconds minTime) {
@@ -85,6 +86,7 @@
   };
   const bool hasClosedIdle = closeOldestOf(closing_, kMinClosingTime) || closeOldestOf(idle_, kMinIdleTime) ||
                              closeOldestOf(unused_, kMinTimeUnderShortage) ||
+                             closeOldestOf(receiving_, kMinTimeUnderShortage) ||
                              closeOldestOf(idle_, kMinTimeUnderShortage);
   return hasClosedIdle ? Reclaim::closedOne : Reclaim::nothingToClose;
 }
--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -67,9 +67,10 @@
   std::uint32_t sessionCount_ = 0; // sessions started since the process started
   std::list<ClientSession *> sessions_;
   // Connections that may be closed for new ones. Each list is in the order in which they were added.
-  std::list<ClientSession *> closing_; // shut down for writing; the client has not closed its end yet
-  std::list<ClientSession *> unused_;  // no usable statement has been received yet
-  std::list<ClientSession *> idle_;    // no request is in flight
+  std::list<ClientSession *> closing_;   // shut down for writing; the client has not closed its end yet
+  std::list<ClientSession *> unused_;    // no usable statement has been received yet
+  std::list<ClientSession *> receiving_; // no request is in flight, and a part of a message has arrived
+  std::list<ClientSession *> idle_;      // no request is in flight
   std::set<std::string, std::less<>> openRequestIds_; // ids of the requests in flight
   pipelining_limits::PipeliningLimits pipeliningLimits_;
   // Events since the latest log line about them.
