--- a/src/base/net/memory_budget.h
+++ b/src/base/net/memory_budget.h
@@ -4,6 +4,7 @@
 
 #include "base/sched/scheduler.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -40,18 +41,31 @@
   }
   ~MemoryReservation() { release(); }
 
+  // What acquire() asks others. Either function may be empty.
+  struct Sharing {
+    std::function<std::size_t()> bytesToLeave; // to be left free for others, in bytes
+    // Takes memory from an owner that holds it too long. Returns when to call it again: at once if memory was
+    // released, sched::kNever if no owner can be asked.
+    std::function<sched::Nanoseconds()> reclaim;
+  };
   // Waits until `bytes` bytes are available beside those that are to be left free for others, and stores
-  // their reservation in `out`. `bytesToLeave` is called again after each notification of
+  // their reservation in `out`. Both functions of `sharing` are called again after each notification of
   // MemoryBudget::released.
   static sched::Task<Result> acquire(sched::Scheduler &scheduler, MemoryBudget &budget, std::size_t bytes,
-                                     sched::Deadline deadline, std::function<std::size_t()> bytesToLeave,
-                                     MemoryReservation &out) {
+                                     sched::Deadline deadline, Sharing sharing, MemoryReservation &out) {
     if (bytes > budget.capacity_) co_return Result::unavailable;
-    while (budget.available_ < bytes + bytesToLeave() || !out.tryAcquire(budget, bytes)) {
-      const auto woken = co_await scheduler.wait(budget.released, deadline);
-      if (woken != sched::WakeReason::notified) co_return Result::unavailable;
+    auto woken = sched::WakeReason::notified;
+    for (;;) {
+      const auto bytesToLeave = sharing.bytesToLeave ? sharing.bytesToLeave() : 0;
+      if (budget.available_ >= bytes + bytesToLeave && out.tryAcquire(budget, bytes))
+        co_return Result::acquired;
+      const auto reclaimAt = sharing.reclaim ? sharing.reclaim() : sched::kNever;
+      if (reclaimAt <= scheduler.now()) continue;
+      const bool isOver = scheduler.now() >= deadline.at || woken == sched::WakeReason::cancelled;
+      if (isOver) co_return Result::unavailable;
+      const sched::Deadline retryAt{std::min(deadline.at, reclaimAt), deadline.cancellation};
+      woken = co_await scheduler.wait(budget.released, retryAt);
     }
-    co_return Result::acquired;
   }
   // Reserves `bytes` bytes in place of what is reserved now. Returns false if they are not available.
   bool tryAcquire(MemoryBudget &budget, std::size_t bytes) {
--- a/src/base/net/socket.cpp
+++ b/src/base/net/socket.cpp
@@ -198,6 +198,7 @@
     if (n >= 0) {
       bytes.remove_prefix(static_cast<std::size_t>(n));
       bytesWritten_ += static_cast<std::size_t>(n);
+      lastWriteAt_ = sched_.now();
       continue;
     }
     const int error = errno;
--- a/src/base/net/socket.h
+++ b/src/base/net/socket.h
@@ -70,6 +70,7 @@
   void shutdown();
   int fd() const { return fd_; }
   std::size_t bytesWritten() const { return bytesWritten_; } // by all write() calls so far
+  Nanoseconds lastWriteAt() const { return lastWriteAt_; }   // when write() last wrote a byte
 
 private:
   // Whether an event of the descriptor will tell when a system call can be repeated.
@@ -88,6 +89,7 @@
   bool isStream_ = false;
   bool isReadReady_ = true; // data may have arrived since a read last emptied the receive queue
   std::size_t bytesWritten_ = 0;
+  Nanoseconds lastWriteAt_ = 0;
   int unregisteredFd_ = -1; // accepted, but not registered with epoll yet; -1: none
 };
 
--- a/src/downstream/client_session.h
+++ b/src/downstream/client_session.h
@@ -50,6 +50,10 @@
   // Releases the memory of the message that has arrived in part. The rest of it is read and dropped, and the
   // message is answered with an error that allows a retry.
   void discardPartialMessage();
+  // From when on the session may be closed for the memory of its large answers, because its client does not
+  // read them; sched::kNever if it may not.
+  Nanoseconds answerMemoryReclaimableAt() const;
+  void abortConnection(); // without sending anything more
   // When the session was added to the list that contains it now.
   Nanoseconds listedSince() const { return listedSince_; }
   // Whether a request or another valid statement has been received on the connection.
@@ -159,7 +163,6 @@
   net::Task<ClientState> flush(); // writes the answers that may be written
   net::Task<ClientState> drain(); // returns once all requests in flight are answered
   void onAllWritten();
-  void abortConnection(); // without sending anything more
 
   Listener &listener_;
   std::unique_ptr<net::Socket> socket_;
@@ -183,10 +186,11 @@
   std::optional<DiscardedMessage> discarded_; // the message being read, if it is discarded
   ReplyQueue replies_;
   const WriteBatch *beingWritten_ = nullptr;
-  bool isWriting_ = false;       // a coroutine is in flush()
-  sched::Event answerProgress_;  // an answer has been completed or written
-  std::size_t requestBytes_ = 0; // of the texts of the requests in flight
-  Requests requests_;            // in flight, in the order of their commands
+  Nanoseconds batchStartedAt_ = 0; // when beingWritten_ was set
+  bool isWriting_ = false;         // a coroutine is in flush()
+  sched::Event answerProgress_;    // an answer has been completed or written
+  std::size_t requestBytes_ = 0;   // of the texts of the requests in flight
+  Requests requests_;              // in flight, in the order of their commands
   // Declared last, with requests_, to be destroyed first: the requests' coroutines use the other members.
   Requests finishedRequests_;
 };
--- a/src/downstream/client_session_reading.cpp
+++ b/src/downstream/client_session_reading.cpp
@@ -143,15 +143,12 @@
   readState_ = ReadState::awaitingMemory;
   const auto waitUntil = std::min(*messageDeadline, listener_.sched_.now() + listener_.maxMemoryWait_);
   auto *const cancellation = hasBeenUsed() ? &clientGone_ : &closeToken_;
-  auto woken = sched::WakeReason::notified;
-  while (!memory_.tryAcquire(listener_.messageMemory_, needed)) {
-    const auto retryAt = listener_.reclaimMessageMemory();
-    if (retryAt <= listener_.sched_.now()) continue;
-    const bool isOver = listener_.sched_.now() >= waitUntil || woken == sched::WakeReason::cancelled;
-    if (isOver) co_return discardPartialMessage();
-    const net::Deadline deadline{std::min(waitUntil, retryAt), cancellation};
-    woken = co_await listener_.sched_.wait(listener_.messageMemory_.released, deadline);
-  }
+  const net::Deadline deadline{waitUntil, cancellation};
+  net::MemoryReservation::Sharing sharing;
+  sharing.reclaim = [this] { return listener_.reclaimMessageMemory(); };
+  const auto reserved = co_await net::MemoryReservation::acquire(
+      listener_.sched_, listener_.messageMemory_, needed, deadline, std::move(sharing), memory_);
+  if (reserved != net::MemoryReservation::Result::acquired) co_return discardPartialMessage();
   readState_ = ReadState::receivingMessage;
   memoryHeldSince_ = listener_.sched_.now();
   try {
--- a/src/downstream/client_session_requests.cpp
+++ b/src/downstream/client_session_requests.cpp
@@ -182,6 +182,13 @@
   finishedRequests_.remove_if([](const Request &request) { return request.isFinished; });
 }
 
+Nanoseconds ClientSession::answerMemoryReclaimableAt() const {
+  if (beingWritten_ == nullptr || clientGone_.isCancelled()) return sched::kNever;
+  if (!holdsMemory(beingWritten_->replies) && !replies_.holdsMemory()) return sched::kNever;
+  const auto stalledSince = std::max(batchStartedAt_, socket_->lastWriteAt());
+  return message_memory::answerReclaimableAt(stalledSince, listener_.routeTimeouts_);
+}
+
 void ClientSession::abortConnection() {
   clientGone_.cancel();
   socket_->shutdown(); // a pending read returns the end of the connection
@@ -195,6 +202,7 @@
     const auto batch = replies_.takeComplete();
     if (clientGone_.isCancelled()) continue;
     beingWritten_ = &batch;
+    batchStartedAt_ = listener_.sched_.now();
     const net::Deadline deadline{listener_.sched_.now() + kWriteTimeout, &clientGone_};
     const auto error = co_await socket_->write(batch.text, deadline);
     beingWritten_ = nullptr;
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -29,6 +29,7 @@
 constexpr Nanoseconds kMaxUnusedIdleTime = 2 * kSecond; // if the connection has never been used
 constexpr Nanoseconds kSweepInterval = kSecond / 4;
 constexpr Nanoseconds kEventLogInterval = kSecond;
+constexpr Nanoseconds kReclaimInterval = 5 * kMillisecond; // between connections closed for their memory
 constexpr int kMaxBacklogFailures = 1000; // backlog connections that their clients have closed already
 
 net::Task<> runSession(std::unique_ptr<ClientSession> session, ConnectionDecision decision) {
@@ -46,7 +47,11 @@
       messageMemory_(std::max(messageMemory, 4 * pg::kMaxClientMessageBytes)),
       maxMemoryWait_(message_memory::maxWait(routeTimeouts_)),
       socket_(net::listenTcp(sched, budget, address)),
-      pipeliningLimits_(budget.limit() / kRequestCapacityDivisor) {}
+      pipeliningLimits_(budget.limit() / kRequestCapacityDivisor) {
+  pool_.reclaimAnswerMemory = [this] { return reclaimAnswerMemory(); };
+}
+
+Listener::~Listener() { pool_.reclaimAnswerMemory = nullptr; }
 
 // Returns whether a connection that was just accepted can be served, and closes an idle one for it if needed.
 // Part of the descriptors is kept free for endpoint and control connections. If no connection can be closed
@@ -111,6 +116,17 @@
   return reclaimableAt;
 }
 
+Nanoseconds Listener::reclaimAnswerMemory() {
+  const auto slowest = std::ranges::min_element(sessions_, {}, &ClientSession::answerMemoryReclaimableAt);
+  if (slowest == sessions_.end()) return sched::kNever;
+  const auto reclaimableAt = (*slowest)->answerMemoryReclaimableAt();
+  if (reclaimableAt > sched_.now()) return reclaimableAt;
+  (*slowest)->abortConnection(); // its task releases the memory
+  countEvent(unreadAnswers_, "connections closed: their clients did not read large answers",
+             std::to_string((sched_.now() - reclaimableAt) / kMillisecond) + " ms over the limit");
+  return sched_.now() + kReclaimInterval;
+}
+
 // Logs at most one line per interval, as a client may send thousands of invalid messages.
 void Listener::countEvent(UnloggedEvents &events, std::string_view message, std::string_view latest) {
   ++events.count;
--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -24,6 +24,9 @@
            upstream::ConnectionPool &pool, log::Log &log, net::Address address,
            std::vector<std::string> routes, std::vector<Nanoseconds> routeTimeouts,
            std::size_t messageMemory);
+  ~Listener();
+  Listener(const Listener &) = delete;
+  Listener &operator=(const Listener &) = delete;
 
   // Accepts connections until shutDown() stops it.
   net::Task<> acceptConnections();
@@ -46,6 +49,8 @@
   // Takes the memory from the message that has held it for longest without having arrived completely. Returns
   // when to try again: now if memory was reclaimed, sched::kNever if no such message holds any.
   Nanoseconds reclaimMessageMemory();
+  // Closes the connection whose client has not read its large answers for longest. Returns when to try again.
+  Nanoseconds reclaimAnswerMemory();
   void countClientError(std::string_view what);
   void countRefusal(); // of a message for which there is no memory
   void startSession(std::unique_ptr<net::Socket> accepted);
@@ -81,6 +86,7 @@
   void countEvent(UnloggedEvents &events, std::string_view message, std::string_view latest);
   UnloggedEvents clientErrors_;
   UnloggedEvents refusals_;
+  UnloggedEvents unreadAnswers_;
   sched::Event sessionEnded_;
 };
 
--- a/src/downstream/reply_queue.cpp
+++ b/src/downstream/reply_queue.cpp
@@ -14,6 +14,10 @@
                      [id](const PendingReply &reply) { return reply.id.equals(id); });
 }
 
+bool holdsMemory(const std::deque<PendingReply> &replies) {
+  return std::ranges::any_of(replies, [](const auto &reply) { return reply.memory.isAcquired(); });
+}
+
 WriteBatch ReplyQueue::takeComplete() {
   WriteBatch out;
   out.text = std::exchange(leadingText_, {});
--- a/src/downstream/reply_queue.h
+++ b/src/downstream/reply_queue.h
@@ -52,6 +52,9 @@
 // Whether one of the replies answers the request with this id.
 bool hasId(const std::deque<PendingReply> &replies, std::string_view id);
 
+// Whether one of the replies holds memory for a large answer.
+bool holdsMemory(const std::deque<PendingReply> &replies);
+
 // Bytes to be written, and the replies whose memory and ids are released after the write.
 struct WriteBatch {
   std::string text;
@@ -73,6 +76,8 @@
   WriteBatch takeComplete();
   // Whether no reply is ahead of this one, which must be in the queue.
   bool isFirst(const PendingReply &reply) const { return &replies_.front() == &reply; }
+  // Whether a large answer in the queue holds memory.
+  bool holdsMemory() const { return downstream::holdsMemory(replies_); }
   bool hasId(std::string_view id) const { return downstream::hasId(replies_, id); }
   // The total size of all answers in the queue, in bytes.
   std::size_t byteCount() const;
--- a/src/policy/message_memory.cpp
+++ b/src/policy/message_memory.cpp
@@ -24,4 +24,8 @@
 
 Nanoseconds reclaimableAt(Nanoseconds heldSince) { return heldSince + kMinHoldTime; }
 
+Nanoseconds answerReclaimableAt(Nanoseconds stalledSince, std::span<const Nanoseconds> routeTimeouts) {
+  return stalledSince + maxWait(routeTimeouts);
+}
+
 } // namespace myrtlehead::message_memory
--- a/src/policy/message_memory.h
+++ b/src/policy/message_memory.h
@@ -1,5 +1,5 @@
-// Decides how much memory a client's message takes while it is received, how long it waits for memory, and
-// when it gives its memory up for others. No I/O; time is an argument.
+// Decides how much memory a large message takes while it is received, how long a client's message waits for
+// memory, and when a message or an answer gives its memory up for others. No I/O; time is an argument.
 #pragma once
 
 #include <cstddef>
@@ -26,4 +26,9 @@
 // lose it to another message.
 Nanoseconds reclaimableAt(Nanoseconds heldSince);
 
+// Returns from when on an answer of which its client has read nothing since `stalledSince` may lose its
+// memory to another answer, and its connection with it. The others' clients wait no longer than for any
+// memory.
+Nanoseconds answerReclaimableAt(Nanoseconds stalledSince, std::span<const Nanoseconds> routeTimeouts);
+
 } // namespace myrtlehead::message_memory
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -1,6 +1,7 @@
 #include "upstream/connection_pool.h"
 
 #include "format/pg/message.h"
+#include "policy/message_memory.h"
 
 #include <algorithm>
 #include <charconv>
@@ -9,6 +10,7 @@
 
 namespace myrtlehead::upstream {
 
+using message_memory::kSmallMessageBytes;
 using net::ErrorCode;
 using net::Failure;
 using net::SendProgress;
@@ -16,8 +18,6 @@
 namespace {
 
 constexpr int kReservedDescriptors = 16; // kept for connections to discovery and the platform
-// Messages up to this size need no memory reservation, and buffers up to this size are kept.
-constexpr std::size_t kSmallMessageBytes = 16 * 1024;
 // For the messages that are expected behind an answer.
 constexpr Nanoseconds kResponseEndTimeout = kSecond;
 constexpr float kMaxLoadValue = 1e6f;
@@ -169,10 +169,12 @@
     const auto part = connection.reply.next(buffer.view(), message);
     if (part == pg::ReplyValidator::incomplete) {
       const auto size = pg::announcedSize(buffer.view());
-      if (size > kSmallMessageBytes && !out.memory.isAcquired()) {
-        auto bytesToLeave = [&] { return memoryToLeave(answerMemory_.capacity()); };
+      const bool isLarge = size > kSmallMessageBytes;
+      if (isLarge && !out.memory.isAcquired()) {
+        net::MemoryReservation::Sharing sharing{[&] { return memoryToLeave(answerMemory_.capacity()); },
+                                                reclaimAnswerMemory};
         const auto reserved = co_await net::MemoryReservation::acquire(sched_, answerMemory_, size, deadline,
-                                                                       std::move(bytesToLeave), out.memory);
+                                                                       std::move(sharing), out.memory);
         if (reserved != net::MemoryReservation::Result::acquired)
           co_return Failure{ErrorCode::timedOut, SendProgress::responseStarted};
         // One allocation for the whole message.
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -58,6 +58,9 @@
                                    AnswerMemoryToLeave memoryToLeave = leaveNoMemory);
   // To be called when some `memoryToLeave` may return less than before.
   void recheckAnswerMemory() { answerMemory_.released.notify(); }
+  // Called when the memory for large answers is short. Takes some from a client that does not read its
+  // answer, and returns when to call it again. May be empty.
+  std::function<Nanoseconds()> reclaimAnswerMemory;
   // Periodically closes connections that have been idle too long or have ended. Never returns.
   net::Task<> sweepIdleConnections();
   // Closes the connection that has been idle longest, to free its descriptor. Returns false if none is idle.
--- a/tests/message_memory_test.cpp
+++ b/tests/message_memory_test.cpp
@@ -152,3 +152,57 @@
   };
   proxy.loop.run(body());
 }
+
+namespace {
+
+// A proxy whose endpoint answers each request with a row of as many bytes as its id says, and stops after
+// `bytesBeforeStop` bytes if that is odd.
+struct SizedAnswerProxy : ProxyFixture {
+  explicit SizedAnswerProxy(std::size_t bytesBeforeStop)
+      : ProxyFixture(
+            [=](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+              if (!co_await ScriptedServer::acceptStartup(s, b)) co_return;
+              for (;;) {
+                const auto sql = co_await ScriptedServer::readQuery(s, b);
+                if (sql.empty()) co_return;
+                const auto size = std::stoul(sql.substr(sql.find("id=") + 3));
+                auto answer = ScriptedServer::rowAnswer(std::string(size, 'x'));
+                if (size % 2 != 0) answer.resize(bytesBeforeStop);
+                co_await s.write(answer, {});
+              }
+            },
+            {}) {}
+};
+
+// Returns how long a new client waits for an answer of `bytes` bytes, of which the pool can hold four
+// million.
+sched::Task<Nanoseconds> timeOfLargeAnswer(SizedAnswerProxy &proxy, int bytes) {
+  auto client = co_await proxy.connect();
+  const auto request = startupMessage() + requestMessage(bytes);
+  const auto begun = proxy.loop.sched.now();
+  co_await client->write(request, {});
+  net::Buffer buffer;
+  const auto answer = co_await readMessageTypes(*client, buffer, 2);
+  REQUIRE(answer == "RZTDCZ");
+  co_return proxy.loop.sched.now() - begun;
+}
+
+} // namespace
+
+// Guards against clients that do not read large answers, and so keep the memory that the answers to other
+// clients need for the five seconds that a write may take.
+TEST_CASE("clients that do not read large answers leave the memory to the answers of others") {
+  SizedAnswerProxy proxy(0);
+  auto body = [&]() -> sched::Task<> {
+    RawClient silent(proxy.listener.address(), 4096); // the kernel takes a part of the answer only
+    silent.write(startupMessage() + requestMessage(4'000'000));
+    co_await proxy.loop.sched.sleep(50 * kMillisecond);
+    for (int i = 0; i < 3; ++i) {
+      const auto time = co_await timeOfLargeAnswer(proxy, 1'900'000);
+      REQUIRE(time < 500 * kMillisecond); // half of the route's timeout
+    }
+    const auto log = proxy.loop.logOutput.str();
+    REQUIRE(log.find("their clients did not read large answers") != std::string::npos);
+  };
+  proxy.loop.run(body());
+}
