--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -169,7 +169,9 @@
     const auto part = connection.reply.next(buffer.view(), message);
     if (part == pg::ReplyValidator::incomplete) {
       const auto size = pg::announcedSize(buffer.view());
-      const bool isLarge = size > kSmallMessageBytes;
+      // An endpoint takes no memory for an answer that it announces and does not send.
+      const auto needed = message_memory::bufferBytes(size, buffer.view().size());
+      const bool isLarge = size > kSmallMessageBytes && needed > kSmallMessageBytes;
       if (isLarge && !out.memory.isAcquired()) {
         net::MemoryReservation::Sharing sharing{[&] { return memoryToLeave(answerMemory_.capacity()); },
                                                 reclaimAnswerMemory};
--- a/tests/message_memory_test.cpp
+++ b/tests/message_memory_test.cpp
@@ -189,6 +189,26 @@
 
 } // namespace
 
+// Guards against endpoints that announce large answers and stop, and so keep the memory that the answers to
+// other clients need until their attempts time out.
+TEST_CASE("endpoints that stop inside large answers leave the memory to the answers of others") {
+  for (const std::size_t sentBytes : {60u, 8'000u}) {
+    SizedAnswerProxy proxy(sentBytes);
+    auto body = [&]() -> sched::Task<> {
+      std::vector<std::unique_ptr<RawClient>> waiting;
+      for (const int bytes : {2'000'001, 2'000'003}) {
+        waiting.push_back(std::make_unique<RawClient>(proxy.listener.address()));
+        waiting.back()->write(startupMessage() + requestMessage(bytes));
+      }
+      co_await proxy.loop.sched.sleep(50 * kMillisecond);
+      co_await timeOfLargeAnswer(proxy, 1'900'000);
+      const auto log = proxy.loop.logOutput.str();
+      REQUIRE(log.find("timed out") == std::string::npos); // it has not waited for the end of an attempt
+    };
+    proxy.loop.run(body());
+  }
+}
+
 // Guards against clients that do not read large answers, and so keep the memory that the answers to other
 // clients need for the five seconds that a write may take.
 TEST_CASE("clients that do not read large answers leave the memory to the answers of others") {
