--- a/src/downstream/client_session.cpp
+++ b/src/downstream/client_session.cpp
@@ -156,8 +156,7 @@
     const auto client = co_await flush();
     if (client == ClientState::gone) co_return ClientState::gone;
     if (limits.mayStartMessage(usage())) break;
-    const net::Deadline deadline{sched::kNever, &clientGone_};
-    co_await listener_.sched_.wait(answerProgress_, deadline);
+    co_await listener_.sched_.wait(answerProgress_);
   }
   co_return ClientState::connected;
 }
--- a/src/downstream/client_session.h
+++ b/src/downstream/client_session.h
@@ -22,7 +22,8 @@
 // The SQLSTATE of an error after which a client can retry its request safely: it was sent to no endpoint.
 constexpr std::string_view kRetriableSqlState = "53300";
 
-// Whether the client can still be answered. It is gone if it has closed its end or does not read its answers.
+// Whether the client can still be answered. It is gone if the connection has failed or it does not read its
+// answers. A client that has closed its end may have closed its sending alone, and is answered.
 enum class ClientState { connected, gone };
 
 // Whether a session continues with the next message or ends.
@@ -77,7 +78,7 @@
   enum class ReclaimList { closing, unused, receiving, idle, none };
   // Whether ReadyForQuery follows an error at once, or is sent in answer to Sync.
   enum class ReadyForQuery { atOnce, afterSync };
-  enum class AdmissionResult { admitted, rejected, clientGone };
+  enum class AdmissionResult { admitted, rejected };
   enum class ReadState {
     notReading,
     awaitingMessage,  // no byte of the next message has arrived
@@ -168,7 +169,9 @@
   std::unique_ptr<net::Socket> socket_;
   std::uint32_t number_;
   net::Buffer buffer_;
-  sched::CancellationToken clientGone_; // cancelled if ClientState is gone
+  // Cancelled if the client has closed its end or ClientState is gone: no attempt is made any more.
+  sched::CancellationToken clientGone_;
+  bool isAborted_ = false;              // ClientState is gone
   sched::CancellationToken closeToken_; // cancelled to close the connection now
   CloseRequest closeRequest_ = CloseRequest::none;
   bool isSkippingToSync_ = false; // messages are ignored until Sync, after an extended-protocol error
--- a/src/downstream/client_session_messages.cpp
+++ b/src/downstream/client_session_messages.cpp
@@ -84,10 +84,9 @@
 // Waits while an earlier request on the same connection has the same id, until the earlier one is answered,
 // as it would without pipelining.
 net::Task<ClientState> ClientSession::awaitRequestIdFree(const pg::Statement &statement) {
-  const net::Deadline deadline{sched::kNever, &clientGone_};
   while (statement.kind == pg::Statement::request && isOpenOnThisConnection(statement.id)) {
-    if (clientGone_.isCancelled()) co_return ClientState::gone;
-    co_await listener_.sched_.wait(answerProgress_, deadline);
+    if (isAborted_) co_return ClientState::gone;
+    co_await listener_.sched_.wait(answerProgress_);
   }
   co_return ClientState::connected;
 }
--- a/src/downstream/client_session_requests.cpp
+++ b/src/downstream/client_session_requests.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Nanoseconds kWriteTimeout = 5 * kSecond; // for the client to read a batch of answers
+constexpr std::string_view kClientClosedMessage =
+    "the client has closed its end of the connection; the request "
+    "can be retried safely";
 
 } // namespace
 
@@ -71,7 +74,10 @@
     const auto woken = co_await listener_.sched_.wait(request.admitted, deadline);
     if (woken != sched::WakeReason::notified) break;
   }
-  if (clientGone_.isCancelled()) co_return AdmissionResult::clientGone;
+  if (clientGone_.isCancelled()) {
+    rejectRequest(request, kClientClosedMessage);
+    co_return AdmissionResult::rejected;
+  }
   if (!listener_.shutdown_.mayStartRequest(listener_.sched_.now())) {
     rejectRequest(request, "the gateway is shutting down; the request can be retried safely");
     co_return AdmissionResult::rejected;
@@ -116,6 +122,11 @@
   }
   if (clientGone_.isCancelled()) {
     router.onClientDisconnected(context);
+    const bool isAnswered = !reply.text.empty();
+    if (!isAnswered && context.mayHaveBeenExecuted())
+      failRequest(request);
+    else if (!isAnswered)
+      rejectRequest(request, kClientClosedMessage);
     co_return;
   }
   const bool isShed = decision.action == AttemptDecision::shed;
@@ -183,27 +194,28 @@
 }
 
 Nanoseconds ClientSession::answerMemoryReclaimableAt() const {
-  if (beingWritten_ == nullptr || clientGone_.isCancelled()) return sched::kNever;
+  if (beingWritten_ == nullptr || isAborted_) return sched::kNever;
   if (!holdsMemory(beingWritten_->replies) && !replies_.holdsMemory()) return sched::kNever;
   const auto stalledSince = std::max(batchStartedAt_, socket_->lastWriteAt());
   return message_memory::answerReclaimableAt(stalledSince, listener_.routeTimeouts_);
 }
 
 void ClientSession::abortConnection() {
+  isAborted_ = true;
   clientGone_.cancel();
   socket_->shutdown(); // a pending read returns the end of the connection
 }
 
 // Only one coroutine writes at a time. Answers that are completed meanwhile are written in its next batch.
 net::Task<ClientState> ClientSession::flush() {
-  if (isWriting_) co_return clientGone_.isCancelled() ? ClientState::gone : ClientState::connected;
+  if (isWriting_) co_return isAborted_ ? ClientState::gone : ClientState::connected;
   isWriting_ = true;
   while (replies_.hasBytesToWrite()) {
     const auto batch = replies_.takeComplete();
-    if (clientGone_.isCancelled()) continue;
+    if (isAborted_) continue;
     beingWritten_ = &batch;
     batchStartedAt_ = listener_.sched_.now();
-    const net::Deadline deadline{listener_.sched_.now() + kWriteTimeout, &clientGone_};
+    const net::Deadline deadline{listener_.sched_.now() + kWriteTimeout, nullptr};
     const auto error = co_await socket_->write(batch.text, deadline);
     beingWritten_ = nullptr;
     if (error != ErrorCode::none) abortConnection();
@@ -213,7 +225,7 @@
   isWriting_ = false;
   onAllWritten();
   answerProgress_.notify();
-  co_return clientGone_.isCancelled() ? ClientState::gone : ClientState::connected;
+  co_return isAborted_ ? ClientState::gone : ClientState::connected;
 }
 
 net::Task<ClientState> ClientSession::drain() {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -42,6 +42,10 @@
   request_.isClientRetry = isClientRetry;
 }
 
+bool RequestContext::mayHaveBeenExecuted() const {
+  return std::ranges::any_of(request_.attempts, &Attempt::mayHaveExecuted);
+}
+
 // Each engine of random numbers has its own seed, so that the draws for one purpose don't change the
 // decisions for another. The value seed + 2 is not used.
 Router::Router(sched::Scheduler &sched, Deployment deployment, std::uint64_t seed, log::Log &log)
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -48,6 +48,9 @@
   // `timeout` is how long the client waits for the answer, counted from `now`.
   RequestContext(int route, std::uint64_t key, Nanoseconds timeout, bool isClientRetry, Nanoseconds now);
 
+  // Whether an endpoint may have executed the request.
+  bool mayHaveBeenExecuted() const;
+
 private:
   friend class Router;
   Request request_;
--- a/tests/client_session_test.cpp
+++ b/tests/client_session_test.cpp
@@ -219,3 +219,30 @@
   };
   proxy.loop.run(body());
 }
+
+// Guards against requests that are read and left unanswered because their client has ended its sending behind
+// them. No attempt is made for it any more, but it is told the outcome.
+TEST_CASE("a client that has ended its sending is told the outcome of its requests") {
+  FixedAnswerProxy proxy(ScriptedServer::rowAnswer("value"), 200 * kMillisecond);
+  auto body = [&]() -> sched::Task<> {
+    RawClient early(proxy.listener.address());
+    early.write(startupMessage() + requestMessage(1) + requestMessage(2));
+    early.endSending(); // before its requests are read
+    co_await proxy.loop.sched.sleep(50 * kMillisecond);
+    std::string codes;
+    REQUIRE(early.readToEnd(&codes) == "RZEZEZ");
+    REQUIRE(codes == "53300 53300 ");
+    REQUIRE(proxy.received.empty());
+
+    RawClient late(proxy.listener.address());
+    late.write(startupMessage() + requestMessage(3) + requestMessage(4, "once"));
+    while (proxy.received.size() < 2) co_await proxy.loop.sched.sleep(kMillisecond);
+    late.endSending();
+    co_await proxy.loop.sched.sleep(50 * kMillisecond);
+    codes.clear();
+    REQUIRE(late.readToEnd(&codes) == "RZEZEZ");
+    REQUIRE(codes == "XX000 XX000 "); // they may have been executed
+    REQUIRE(proxy.received.size() == 2);
+  };
+  proxy.loop.run(body());
+}
--- a/tests/raw_client.h
+++ b/tests/raw_client.h
@@ -27,6 +27,8 @@
   bool write(const std::string &bytes) {
     return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
   }
+  // Ends what the client sends; it still reads.
+  void endSending() { REQUIRE(shutdown(fd_, SHUT_WR) == 0); }
   // Reads up to the end of the connection and returns the types of all messages, followed by "?" if
   // the last message is incomplete and by "!" if the connection was reset. `codes` receives the SQLSTATEs of
   // all errors, each followed by a space.
