--- a/src/downstream/client_session.cpp
+++ b/src/downstream/client_session.cpp
@@ -22,30 +22,26 @@
 
 ClientSession::ClientSession(Listener &listener, std::unique_ptr<net::Socket> socket, std::uint32_t number)
     : listener_(listener), socket_(std::move(socket)), number_(number), openedAt_(listener.sched_.now()),
-      listedSince_(openedAt_) {
+      inGroupSince_(openedAt_) {
   positionInSessions_ = listener_.sessions_.insert(listener_.sessions_.end(), this);
   socket_->cancelOnHangUp(&clientGone_);
 }
 
 ClientSession::~ClientSession() {
   for (auto &request : requests_) listener_.pipeliningLimits_.release(request.ticket);
-  moveToList(ReclaimList::none);
+  moveToGroup(std::nullopt);
   listener_.sessions_.erase(positionInSessions_);
   listener_.sessionEnded_.notify();
 }
 
-std::list<ClientSession *> &ClientSession::sessionsIn(ReclaimList list) {
-  if (list == ReclaimList::closing) return listener_.closing_;
-  if (list == ReclaimList::receiving) return listener_.receiving_;
-  return list == ReclaimList::unused ? listener_.unused_ : listener_.idle_;
-}
-
-void ClientSession::moveToList(ReclaimList list) {
-  if (list == list_) return;
-  if (list_ != ReclaimList::none) sessionsIn(list_).erase(positionInList_);
-  list_ = list;
-  listedSince_ = listener_.sched_.now();
-  if (list != ReclaimList::none) positionInList_ = sessionsIn(list).insert(sessionsIn(list).end(), this);
+void ClientSession::moveToGroup(std::optional<ReclaimGroup> group) {
+  if (group == group_) return;
+  if (group_) listener_.sessionsIn(*group_).erase(positionInGroup_);
+  group_ = group;
+  inGroupSince_ = listener_.sched_.now();
+  if (!group) return;
+  auto &sessions = listener_.sessionsIn(*group);
+  positionInGroup_ = sessions.insert(sessions.end(), this);
 }
 
 net::Task<> ClientSession::failConnection(std::string_view message) {
@@ -66,7 +62,7 @@
 }
 
 void ClientSession::closeIdle() {
-  moveToList(ReclaimList::none); // the listener must not choose it again
+  moveToGroup(std::nullopt); // the listener must not choose it again
   requestCloseNow();
   if (phase_ == Phase::closing) clientGone_.cancel();
 }
@@ -82,7 +78,7 @@
 // so that a client that keeps sending does not use up resources.
 net::Task<> ClientSession::closeGracefully() {
   phase_ = Phase::closing;
-  moveToList(ReclaimList::closing);
+  moveToGroup(ReclaimGroup::closing);
   socket_->shutdownWrite();
   const net::Deadline deadline{listener_.sched_.now() + kClosingTime, &clientGone_};
   auto error = ErrorCode::none;
@@ -102,16 +98,16 @@
 net::Task<> ClientSession::closeAtShutdown() {
   if (!listener_.shutdown_.isInProgress()) co_return;
   phase_ = Phase::closing;
-  moveToList(ReclaimList::closing);
+  moveToGroup(ReclaimGroup::closing);
   socket_->shutdownWrite();
   co_await listener_.sched_.sleep(kClosingTime, &clientGone_);
 }
 
 net::Task<> ClientSession::run(ConnectionDecision decision) {
   const bool isServed = decision == ConnectionDecision::serve;
-  moveToList(ReclaimList::unused);
+  moveToGroup(ReclaimGroup::unused);
   const auto started = co_await startUp(isServed ? kStartupTimeout : kClosingTime);
-  moveToList(ReclaimList::none);
+  moveToGroup(std::nullopt);
   if (started == SessionFlow::end) co_return;
   if (!isServed) {
     co_await closeWithError(kRetriableSqlState,
--- a/src/downstream/client_session.h
+++ b/src/downstream/client_session.h
@@ -17,6 +17,8 @@
 
 namespace myrtlehead::downstream {
 
+using connection_limits::ConnectionUse;
+using connection_limits::ReclaimGroup;
 using message_memory::kSmallMessageBytes;
 
 // The SQLSTATE of an error after which a client can retry its request safely: it was sent to no endpoint.
@@ -55,10 +57,10 @@
   // read them; sched::kNever if it may not.
   Nanoseconds answerMemoryReclaimableAt() const;
   void abortConnection(); // without sending anything more
-  // When the session was added to the list that contains it now.
-  Nanoseconds listedSince() const { return listedSince_; }
+  // When the session was added to the group in which it is now.
+  Nanoseconds inGroupSince() const { return inGroupSince_; }
   // Whether a request or another valid statement has been received on the connection.
-  bool hasBeenUsed() const { return phase_ != Phase::unused; }
+  ConnectionUse use() const { return hasBeenUsed() ? ConnectionUse::used : ConnectionUse::unused; }
 
 private:
   // The lifecycle of a connection; it only moves forward.
@@ -74,8 +76,6 @@
     now,          // closeToken_ is cancelled
     finalReadDone // closeToken_ is cancelled, and the bytes that had arrived by then have been read
   };
-  // The listener's list of connections that may be closed in which the session is.
-  enum class ReclaimList { closing, unused, receiving, idle, none };
   // Whether ReadyForQuery follows an error at once, or is sent in answer to Sync.
   enum class ReadyForQuery { atOnce, afterSync };
   enum class AdmissionResult { admitted, rejected };
@@ -107,8 +107,9 @@
   using Requests = std::list<Request>;
 
   // The connection's lifecycle and closing.
-  void moveToList(ReclaimList list);
-  std::list<ClientSession *> &sessionsIn(ReclaimList list);
+  bool hasBeenUsed() const { return phase_ != Phase::unused; }
+  // Adds the session to a group of connections that may be closed, or removes it from its group.
+  void moveToGroup(std::optional<ReclaimGroup> group);
   void requestCloseNow();
   net::Task<SessionFlow> startUp(Nanoseconds within);
   net::Task<> serveMessages(); // until the client sends no more
@@ -122,16 +123,16 @@
   // As closeWithError(), for an error of the client.
   net::Task<> failConnection(std::string_view message);
 
-  // Reading messages. The deadline is that of the rest of a message of which a part has arrived.
+  // Reading messages. `begunAt` is when the first part of the message being read arrived, if one has.
   net::Task<SessionFlow> nextMessage(pg::Message &out);
   pg::ParseStatus parseNextMessage(pg::Message &out);
   bool hasPartialMessage() const { return !buffer_.empty() || discarded_; }
   net::Task<ClientState> writeAnswersBeforeRead();
-  ReclaimList listWhileReading() const;
-  net::Task<net::ErrorCode> readMore(std::optional<Nanoseconds> deadline);
-  net::Task<net::ErrorCode> readFinalMessage(std::optional<Nanoseconds> deadline);
-  Nanoseconds deadlineOfPartialMessage(std::optional<Nanoseconds> current) const;
-  net::Task<> reserveMessageMemory(std::optional<Nanoseconds> messageDeadline);
+  std::optional<ReclaimGroup> groupWhileReading() const;
+  net::Task<net::ErrorCode> readMore(std::optional<Nanoseconds> begunAt);
+  net::Task<net::ErrorCode> readFinalMessage(std::optional<Nanoseconds> begunAt);
+  Nanoseconds messageDeadline(Nanoseconds begunAt) const;
+  net::Task<> reserveMessageMemory(std::optional<Nanoseconds> begunAt);
   net::Task<> closeUnread();
 
   // The answer to each message.
@@ -176,10 +177,10 @@
   CloseRequest closeRequest_ = CloseRequest::none;
   bool isSkippingToSync_ = false; // messages are ignored until Sync, after an extended-protocol error
   std::list<ClientSession *>::iterator positionInSessions_;
-  std::list<ClientSession *>::iterator positionInList_;
-  ReclaimList list_ = ReclaimList::none;
+  std::list<ClientSession *>::iterator positionInGroup_;
+  std::optional<ReclaimGroup> group_;
   Nanoseconds openedAt_;
-  Nanoseconds listedSince_;
+  Nanoseconds inGroupSince_;
   Nanoseconds lastReadAt_ = 0; // when the latest bytes were read
   Phase phase_ = Phase::unused;
   ReadState readState_ = ReadState::notReading;
--- a/src/downstream/client_session_reading.cpp
+++ b/src/downstream/client_session_reading.cpp
@@ -10,24 +10,14 @@
 
 using net::ErrorCode;
 
-namespace {
-
-constexpr Nanoseconds kMessageTimeout = 2 * kSecond; // for the rest of a partly received message
-// The same if the connection is to be closed for its descriptor.
-constexpr Nanoseconds kMinMessageTime = kSecond / 4;
-// For the rest of a connection's first message, counted from when the connection was opened.
-constexpr Nanoseconds kFirstMessageTimeout = 5 * kSecond / 2;
-
-} // namespace
-
 // Reads until a whole message is at the front of the buffer, to which `out` refers, or has been discarded.
 // The connection may be closed between messages.
 net::Task<SessionFlow> ClientSession::nextMessage(pg::Message &out) {
-  for (std::optional<Nanoseconds> deadline;;) {
+  for (std::optional<Nanoseconds> begunAt;;) {
     const auto parsed = parseNextMessage(out);
     const bool isPartial = parsed == pg::ParseStatus::incomplete && hasPartialMessage();
     readState_ = isPartial ? ReadState::receivingMessage : ReadState::notReading;
-    if (parsed != pg::ParseStatus::incomplete) moveToList(ReclaimList::none);
+    if (parsed != pg::ParseStatus::incomplete) moveToGroup(std::nullopt);
     if (parsed == pg::ParseStatus::complete) co_return SessionFlow::proceed;
     if (parsed == pg::ParseStatus::malformed) {
       co_await failConnection("message length is invalid or above the limit");
@@ -35,11 +25,11 @@
     }
     const auto client = co_await writeAnswersBeforeRead();
     if (client == ClientState::gone) co_return SessionFlow::end;
-    if (hasPartialMessage()) deadline = deadlineOfPartialMessage(deadline);
-    moveToList(listWhileReading());
-    co_await reserveMessageMemory(deadline);
-    const auto error = co_await readMore(deadline);
-    if (error != ErrorCode::none) moveToList(ReclaimList::none);
+    if (hasPartialMessage() && !begunAt) begunAt = listener_.sched_.now();
+    moveToGroup(groupWhileReading());
+    co_await reserveMessageMemory(begunAt);
+    const auto error = co_await readMore(begunAt);
+    if (error != ErrorCode::none) moveToGroup(std::nullopt);
     if (error == ErrorCode::timedOut) co_await closeUnread();
     if (error != ErrorCode::none) co_return SessionFlow::end;
     lastReadAt_ = listener_.sched_.now();
@@ -67,54 +57,55 @@
   co_return co_await drain();
 }
 
-// Returns the list of connections that may be closed to which the session belongs before a read. A connection
-// without a valid statement may be closed for a new one, as before its startup message. A session stays in
-// its list while the parts of a message arrive, so that a client that sends a byte at a time is no exception.
-ClientSession::ReclaimList ClientSession::listWhileReading() const {
-  if (closeToken_.isCancelled()) return ReclaimList::none;
+// Returns the group of connections that may be closed to which the session belongs before a read. A
+// connection without a valid statement may be closed for a new one, as before its startup message. A session
+// stays in its group while the parts of a message arrive, so that a client that sends a byte at a time is no
+// exception.
+std::optional<ReclaimGroup> ClientSession::groupWhileReading() const {
+  if (closeToken_.isCancelled()) return std::nullopt;
   const bool isQuiet = requests_.empty() && !isWriting_;
-  if (isQuiet && !hasPartialMessage()) return ReclaimList::idle;
-  if (!hasBeenUsed()) return ReclaimList::unused;
-  return isQuiet ? ReclaimList::receiving : ReclaimList::none;
+  if (isQuiet && !hasPartialMessage()) return ReclaimGroup::idle;
+  if (!hasBeenUsed()) return ReclaimGroup::unused;
+  return isQuiet ? std::optional(ReclaimGroup::receiving) : std::nullopt;
 }
 
-// Waits for further bytes. `deadline` is that of the message, if a part of it has arrived. Returns timedOut
-// if the rest of the message is late, or if the connection is to be closed and nothing is left to read.
-net::Task<ErrorCode> ClientSession::readMore(std::optional<Nanoseconds> deadline) {
-  if (!deadline) readState_ = ReadState::awaitingMessage;
+// Waits for further bytes. `begunAt` is when the first part of the message arrived, if one has. Returns
+// timedOut if the rest of the message is late, or if the connection is to be closed and nothing is left to
+// read.
+net::Task<ErrorCode> ClientSession::readMore(std::optional<Nanoseconds> begunAt) {
+  if (!begunAt) readState_ = ReadState::awaitingMessage;
   auto error = ErrorCode::cancelled;
   if (!closeToken_.isCancelled())
-    error = co_await socket_->read(buffer_, {deadline.value_or(sched::kNever), &closeToken_});
+    error = co_await socket_->read(buffer_,
+                                   {begunAt ? messageDeadline(*begunAt) : sched::kNever, &closeToken_});
   if (readState_ == ReadState::awaitingMessage) readState_ = ReadState::notReading;
-  if (error == ErrorCode::cancelled) error = co_await readFinalMessage(deadline);
+  if (error == ErrorCode::cancelled) error = co_await readFinalMessage(begunAt);
   co_return error;
 }
 
-// Returns the deadline for the rest of a partly received message. `current` is the deadline set when its
-// first part arrived, if it has been set.
-Nanoseconds ClientSession::deadlineOfPartialMessage(std::optional<Nanoseconds> current) const {
-  const auto initial = hasBeenUsed() ? listener_.sched_.now() + kMessageTimeout
-                                     : openedAt_ + kFirstMessageTimeout;
-  const auto deadline = current.value_or(initial);
+// Returns the deadline for the rest of a message of which the first part arrived at `begunAt`.
+Nanoseconds ClientSession::messageDeadline(Nanoseconds begunAt) const {
+  const auto deadline = connection_limits::messageDeadline(use(), openedAt_, begunAt);
   const auto &shutdown = listener_.shutdown_;
-  return shutdown.isInProgress() ? std::min(deadline, shutdown.partialMessageDeadline()) : deadline;
+  if (shutdown.isInProgress()) return std::min(deadline, shutdown.partialMessageDeadline());
+  if (!closeToken_.isCancelled()) return deadline;
+  return std::min(deadline, connection_limits::finalMessageDeadline(begunAt));
 }
 
 // Reads once more after closeToken_ was cancelled. It waits for the rest of a partly received message and,
 // during a shutdown, for the first message of a new connection. Otherwise it reads once without waiting, for
 // a request that was sent before the client could see the end of the connection. It does not read a second
 // time, because a client may always have another request. Returns timedOut if nothing is left to read.
-net::Task<ErrorCode> ClientSession::readFinalMessage(std::optional<Nanoseconds> deadline) {
-  const bool mayWait = hasBeenUsed() ? deadline.has_value() : listener_.shutdown_.isInProgress();
+net::Task<ErrorCode> ClientSession::readFinalMessage(std::optional<Nanoseconds> begunAt) {
+  const auto &shutdown = listener_.shutdown_;
+  const bool mayWait = hasBeenUsed() ? begunAt.has_value() : shutdown.isInProgress();
   if (!mayWait) {
     // The rest of a message that has arrived in part may have arrived, too.
-    if (closeRequest_ == CloseRequest::finalReadDone && !deadline) co_return ErrorCode::timedOut;
+    if (closeRequest_ == CloseRequest::finalReadDone && !begunAt) co_return ErrorCode::timedOut;
     closeRequest_ = CloseRequest::finalReadDone;
     co_return socket_->tryRead(buffer_);
   }
-  const auto &shutdown = listener_.shutdown_;
-  auto until = deadline.value_or(shutdown.partialMessageDeadline());
-  if (deadline && !shutdown.isInProgress()) until = *deadline - kMessageTimeout + kMinMessageTime;
+  const auto until = begunAt ? messageDeadline(*begunAt) : shutdown.partialMessageDeadline();
   const auto error = co_await socket_->read(buffer_, {until, nullptr});
   co_return error;
 }
@@ -135,13 +126,14 @@
 // Reserves memory for the message at the front of the buffer if it is large. If memory is short, messages
 // that take too long to arrive give up theirs. If none becomes available in time, the message is discarded,
 // and refused once the rest of it has arrived.
-net::Task<> ClientSession::reserveMessageMemory(std::optional<Nanoseconds> messageDeadline) {
-  if (!messageDeadline || discarded_) co_return;
+net::Task<> ClientSession::reserveMessageMemory(std::optional<Nanoseconds> begunAt) {
+  if (!begunAt || discarded_) co_return;
   const auto announced = pg::announcedSize(buffer_.view());
   const auto needed = message_memory::bufferBytes(announced, buffer_.view().size());
   if (announced <= kSmallMessageBytes || needed <= kSmallMessageBytes || memory_.isAcquired()) co_return;
   readState_ = ReadState::awaitingMemory;
-  const auto waitUntil = std::min(*messageDeadline, listener_.sched_.now() + listener_.maxMemoryWait_);
+  const auto waitUntil = std::min(messageDeadline(*begunAt),
+                                  listener_.sched_.now() + listener_.maxMemoryWait_);
   auto *const cancellation = hasBeenUsed() ? &clientGone_ : &closeToken_;
   const net::Deadline deadline{waitUntil, cancellation};
   net::MemoryReservation::Sharing sharing;
--- a/src/downstream/client_session_requests.cpp
+++ b/src/downstream/client_session_requests.cpp
@@ -242,7 +242,7 @@
 void ClientSession::onAllWritten() {
   if (!requests_.empty()) return;
   if (closeRequest_ != CloseRequest::none) requestCloseNow();
-  if (readState_ != ReadState::notReading) moveToList(listWhileReading());
+  if (readState_ != ReadState::notReading) moveToGroup(groupWhileReading());
 }
 
 } // namespace myrtlehead::downstream
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -12,21 +12,8 @@
 
 namespace {
 
-// Fractions of the descriptor budget, as divisors.
-constexpr int kReserveDivisor = 4;         // kept free for endpoint and control connections
-constexpr int kShortageEndDivisor = 3;     // a shortage ends when more than this fraction is free
-constexpr int kRequestCapacityDivisor = 3; // for client requests; upstream attempts need as many again
-constexpr int kMinReserveDivisor = 12;     // not even used to reject a client
-
 constexpr Nanoseconds kAcceptRetryInterval = kSecond / 10;   // while no descriptor is free
 constexpr Nanoseconds kBacklogRetryInterval = kSecond / 100; // the same during a shutdown
-// Minimum time that a connection stays in its list before it may be closed for a new one.
-constexpr Nanoseconds kMinClosingTime = kSecond / 10;      // lets the client see the end of the connection
-constexpr Nanoseconds kMinIdleTime = 2 * kSecond;          // required by the service's protocol
-constexpr Nanoseconds kMinTimeUnderShortage = kSecond / 4; // if a new connection would be rejected otherwise
-// Time after which an idle connection is closed in any case.
-constexpr Nanoseconds kMaxIdleTime = 10 * kSecond;
-constexpr Nanoseconds kMaxUnusedIdleTime = 2 * kSecond; // if the connection has never been used
 constexpr Nanoseconds kSweepInterval = kSecond / 4;
 constexpr Nanoseconds kEventLogInterval = kSecond;
 constexpr Nanoseconds kReclaimInterval = 5 * kMillisecond; // between connections closed for their memory
@@ -47,7 +34,7 @@
       messageMemory_(std::max(messageMemory, 4 * pg::kMaxClientMessageBytes)),
       maxMemoryWait_(message_memory::maxWait(routeTimeouts_)),
       socket_(net::listenTcp(sched, budget, address)),
-      pipeliningLimits_(budget.limit() / kRequestCapacityDivisor) {
+      pipeliningLimits_(connection_limits::requestCapacity(budget.limit())) {
   pool_.reclaimAnswerMemory = [this] { return reclaimAnswerMemory(); };
 }
 
@@ -58,19 +45,15 @@
 // for the new one, the new one is rejected at once: left in the backlog, its request would time out.
 bool Listener::ensureDescriptorForConnection() {
   updateShortage();
-  const bool hasReserve = budget_.available() > budget_.limit() / kReserveDivisor;
-  // At most a third of the descriptors is used by connections with requests in flight. If there are more
-  // connections, some of them are idle and occupy descriptors that active clients may need.
-  const bool hasManyClients = static_cast<int>(sessions_.size()) > budget_.limit() / kRequestCapacityDivisor;
+  const bool hasReserve = connection_limits::hasReserve(descriptors());
+  const bool hasManyClients = connection_limits::hasManyClients(sessions_.size(), budget_.limit());
   const bool hasClosedIdle = (hasManyClients || !hasReserve) && closeOneIdle() == Reclaim::closedOne;
   return hasReserve || hasClosedIdle;
 }
 
-// Logs the start and the end of a descriptor shortage. The two thresholds differ, so that the state does not
-// change back and forth.
+// Logs the start and the end of a descriptor shortage.
 void Listener::updateShortage() {
-  const int divisor = isShortOfDescriptors_ ? kShortageEndDivisor : kReserveDivisor;
-  const bool isShort = budget_.available() <= budget_.limit() / divisor;
+  const bool isShort = connection_limits::isShort(isShortOfDescriptors_, descriptors());
   if (isShort == isShortOfDescriptors_) return;
   isShortOfDescriptors_ = isShort;
   log_.info(isShort ? "few file descriptors are free; closing idle client connections"
@@ -84,26 +67,24 @@
 // stopped inside a message, then any idle one. Limitation: if
 // many clients send requests in turn, each on its own connection, they often have to reconnect.
 Listener::Reclaim Listener::closeOneIdle() {
-  const auto closeOldestOf = [&](std::list<ClientSession *> &list, Nanoseconds minTime) {
-    if (list.empty() || sched_.now() - list.front()->listedSince() < minTime) return false;
-    list.front()->closeIdle();
-    return true;
-  };
-  const bool hasClosedIdle = closeOldestOf(closing_, kMinClosingTime) || closeOldestOf(idle_, kMinIdleTime) ||
-                             closeOldestOf(unused_, kMinTimeUnderShortage) ||
-                             closeOldestOf(receiving_, kMinTimeUnderShortage) ||
-                             closeOldestOf(idle_, kMinTimeUnderShortage);
-  return hasClosedIdle ? Reclaim::closedOne : Reclaim::nothingToClose;
+  for (const auto &step : connection_limits::reclaimOrder()) {
+    const auto &sessions = sessionsIn(step.group);
+    if (sessions.empty() || sched_.now() - sessions.front()->inGroupSince() < step.minTime) continue;
+    sessions.front()->closeIdle();
+    return Reclaim::closedOne;
+  }
+  return Reclaim::nothingToClose;
 }
 
 // Frees the descriptors and memory of clients that send one request, or none, and keep their connection open.
 net::Task<> Listener::sweepIdleConnections() {
   for (;;) {
     co_await sched_.sleep(kSweepInterval);
-    for (auto it = idle_.begin(); it != idle_.end();) {
+    auto &idle = sessionsIn(connection_limits::ReclaimGroup::idle);
+    for (auto it = idle.begin(); it != idle.end();) {
       auto *session = *it++; // closeIdle() removes the session from the list
-      const Nanoseconds idleTime = sched_.now() - session->listedSince();
-      if (idleTime >= (session->hasBeenUsed() ? kMaxIdleTime : kMaxUnusedIdleTime)) session->closeIdle();
+      const Nanoseconds idleTime = sched_.now() - session->inGroupSince();
+      if (idleTime >= connection_limits::maxIdleTime(session->use())) session->closeIdle();
     }
   }
 }
@@ -157,7 +138,7 @@
 
 net::Task<> Listener::acceptConnections() {
   while (!acceptStop_.isCancelled()) {
-    if (budget_.available() <= budget_.limit() / kMinReserveDivisor) {
+    if (!connection_limits::mayAccept(descriptors())) {
       closeOneIdle();
       const net::Deadline retry{sched_.now() + kAcceptRetryInterval, &acceptStop_};
       co_await sched_.wait(budget_.released, retry);
@@ -185,7 +166,7 @@
 net::Task<> Listener::acceptBacklog() {
   for (int failures = 0; failures < kMaxBacklogFailures;) {
     auto error = ErrorCode::noDescriptorLeft;
-    if (budget_.available() > budget_.limit() / kMinReserveDivisor) {
+    if (connection_limits::mayAccept(descriptors())) {
       auto accepted = net::tryAccept(sched_, budget_, *socket_);
       if (accepted) {
         startSession(std::move(*accepted));
--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -3,12 +3,14 @@
 
 #include "base/net/memory_budget.h"
 #include "base/net/socket.h"
+#include "policy/connection_limits.h"
 #include "policy/graceful_shutdown.h"
 #include "policy/pipelining_limits.h"
 #include "router/router.h"
 #include "upstream/connection_pool.h"
 
 #include <list>
+#include <map>
 #include <set>
 
 namespace myrtlehead::downstream {
@@ -43,6 +45,10 @@
   // Whether an idle connection could be closed to free its descriptor for a new connection.
   enum class Reclaim { closedOne, nothingToClose };
 
+  std::list<ClientSession *> &sessionsIn(connection_limits::ReclaimGroup group) {
+    return reclaimable_[group];
+  }
+  connection_limits::Descriptors descriptors() const { return {budget_.available(), budget_.limit()}; }
   bool ensureDescriptorForConnection();
   void updateShortage();
   Reclaim closeOneIdle();
@@ -71,11 +77,8 @@
   bool isShortOfDescriptors_ = false;
   std::uint32_t sessionCount_ = 0; // sessions started since the process started
   std::list<ClientSession *> sessions_;
-  // Connections that may be closed for new ones. Each list is in the order in which they were added.
-  std::list<ClientSession *> closing_;   // shut down for writing; the client has not closed its end yet
-  std::list<ClientSession *> unused_;    // no usable statement has been received yet
-  std::list<ClientSession *> receiving_; // no request is in flight, and a part of a message has arrived
-  std::list<ClientSession *> idle_;      // no request is in flight
+  // Connections that may be closed for new ones, by group, in the order in which they were added to it.
+  std::map<connection_limits::ReclaimGroup, std::list<ClientSession *>> reclaimable_;
   std::set<std::string, std::less<>> openRequestIds_; // ids of the requests in flight
   pipelining_limits::PipeliningLimits pipeliningLimits_;
   // Events since the latest log line about them.
--- a/tests/failing_calls.h
+++ b/tests/failing_calls.h
@@ -1,5 +1,5 @@
-// Lets system calls and allocations of a test program fail, in ways that Linux documents. The calls come to the
-// functions below before they come to the C library. For one source file of a program only.
+// Lets system calls and allocations of a test program fail, in ways that Linux documents. The calls come to
+// the functions below before they come to the C library. For one source file of a program only.
 #pragma once
 
 #include <cerrno>
