--- a/src/control/rollout/rollout_client.cpp
+++ b/src/control/rollout/rollout_client.cpp
@@ -29,7 +29,12 @@
 net::Task<> RolloutClient::sendVotes() {
   for (;;) {
     const auto vote = co_await router_.nextVote();
-    const auto answer = co_await castVote(vote);
+    VoteAnswer answer{VoteReply::timedOut, {}};
+    try {
+      answer = co_await castVote(vote);
+    } catch (const std::exception &error) {
+      log_.error("a vote failed", {{"what", error.what()}});
+    }
     log_.debug("vote", {{"verdict", nameOf(vote.verdict)},
                         {"build", vote.build},
                         {"stage", vote.stage},
@@ -90,25 +95,37 @@
 // event.
 net::Task<> RolloutClient::readStream(StreamNumber number,
                                       std::shared_ptr<sched::CancellationToken> cancellation) {
+  auto cause = net::ErrorCode::connectionLost;
+  try {
+    cause = co_await readEvents(number, *cancellation);
+  } catch (const std::exception &error) {
+    log_.error("rollout event stream failed", {{"what", error.what()}});
+  }
+  openStreams_.erase(number);
+  const bool isLatest = number == latestStream_;
+  if (!isLatest) co_return;
+  log_.info("rollout event stream ended", {{"cause", net::errorName(cause)}});
+  co_await sched_.sleep(kReopenBackoff);
+  if (number == latestStream_) streamRequested_.notify();
+}
+
+// Returns why the stream has ended.
+net::Task<net::ErrorCode> RolloutClient::readEvents(StreamNumber number,
+                                                    sched::CancellationToken &cancellation) {
   http_client::Exchange exchange(sched_, budget_);
   auto request = http::writeRequest("GET", "/bulletin", "platform");
-  const net::Deadline openDeadline{sched_.now() + kStreamIdleTimeout, cancellation.get()};
+  const net::Deadline openDeadline{sched_.now() + kStreamIdleTimeout, &cancellation};
   const auto opened = co_await exchange.sendRequest(address_, std::move(request), openDeadline);
   auto cause = opened.cause;
   if (cause == net::ErrorCode::none && exchange.head().status != 200) cause = net::ErrorCode::refused;
   while (cause == net::ErrorCode::none) {
-    cause = handleEvents(number, *cancellation, exchange.body);
+    cause = handleEvents(number, cancellation, exchange.body);
     if (cause != net::ErrorCode::none) break;
-    const net::Deadline eventDeadline{sched_.now() + kStreamIdleTimeout, cancellation.get()};
+    const net::Deadline eventDeadline{sched_.now() + kStreamIdleTimeout, &cancellation};
     cause = co_await exchange.readMore(eventDeadline);
   }
-  if (cancellation->isCancelled()) handleLastStates(exchange);
-  openStreams_.erase(number);
-  const bool isLatest = number == latestStream_;
-  if (!isLatest) co_return;
-  log_.info("rollout event stream ended", {{"cause", net::errorName(cause)}});
-  co_await sched_.sleep(kReopenBackoff);
-  if (number == latestStream_) streamRequested_.notify();
+  if (cancellation.isCancelled()) handleLastStates(exchange);
+  co_return cause;
 }
 
 // Handles the complete events in `received` and removes them from it.
--- a/src/control/rollout/rollout_client.h
+++ b/src/control/rollout/rollout_client.h
@@ -35,6 +35,7 @@
 
   void handleLateResponse(const http_client::Response &response);
   net::Task<> readStream(StreamNumber number, std::shared_ptr<sched::CancellationToken> cancellation);
+  net::Task<net::ErrorCode> readEvents(StreamNumber number, sched::CancellationToken &cancellation);
   net::ErrorCode handleEvents(StreamNumber number, const sched::CancellationToken &cancellation,
                               std::string &received);
   void handleLastStates(http_client::Exchange &exchange);
--- a/tests/system_call_failures_test.cpp
+++ b/tests/system_call_failures_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "app/signals.h"
+#include "control_fixture.h"
 #include "downstream/client_session.h"
 #include "failing_calls.h"
 #include "raw_client.h"
@@ -155,3 +156,32 @@
     proxy.loop.run(body());
   }
 }
+
+// Guards against an instance that hears no more of the rollout, because memory for one read of the event
+// stream could not be allocated.
+TEST_CASE("the rollout event stream is opened again after memory for it can't be allocated") {
+  for (int succeeding = 0; succeeding < 4; ++succeeding) { // the server's read buffers have the same size
+    CAPTURE(succeeding);
+    int openStreams = 0;
+    const auto script = [&](net::Socket &s, net::Buffer &b) -> sched::Task<> {
+      co_await readRequestLine(s, b);
+      const auto event = kChunkedResponseHead +
+                         chunk("event: stage\ndata: build=2&stage=1&phase=Aborting&cap=0&age_ms=0\n\n");
+      co_await s.write(event, {});
+      ++openStreams;
+      co_await s.read(b, {});
+      --openStreams;
+    };
+    ControlFixture fixture(script);
+    const auto body = [&]() -> sched::Task<> {
+      minFailingSize = maxFailingSize = 4096; // of a new read buffer
+      allocationsBeforeFailure = succeeding;
+      allocationFailure = {ENOMEM, 1};
+      fixture.loop.sched.spawn(fixture.rolloutClient.followEventStream());
+      co_await fixture.loop.sched.sleep(600 * kMillisecond);
+      allocationFailure = {};
+      REQUIRE(openStreams == 1);
+    };
+    fixture.loop.run(body());
+  }
+}
