--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,5 +1,6 @@
 // The command line of the laboratory: runs scenarios against emulated servers and prints the results.
 #include "app/bootstrap/bootstrap_config.h"
+#include "lab/crowds.h"
 #include "lab/fleet.h"
 #include "lab/histories.h"
 #include "lab/log_tally.h"
@@ -49,6 +50,7 @@
   int count = 10;
   double minCompletedShare = 0; // `run`: the share of requests that must be completed, 0 to 1
   bool printsEverySecond = false;
+  lab::CrowdOptions crowds;
 };
 
 // This function and those below each carry out one sub-command and return the exit code of the program.
@@ -158,6 +160,34 @@
   return 0;
 }
 
+void addCrowdOptions(CLI::App &command, CommandLine &line) {
+  auto &crowds = line.crowds;
+  command.add_option("--seed", crowds.seed, "Seed of the first play")->capture_default_str();
+  command.add_option("--plays", crowds.plays, "Number of plays, each with the next seed")
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
+  command.add_option("--kind", crowds.kind, "Kind of the crowd; drawn by seed unless given")
+      ->check(CLI::IsMember(lab::kCrowdKindNames));
+  command.add_option("--clients", crowds.clients, "Clients at once; drawn by seed unless given")
+      ->check(CLI::Range(1, 900));
+  command.add_option("--memory-mb", crowds.memoryMb, "Limit of the instance's memory, in MB")
+      ->check(CLI::Range(32, 4096))
+      ->capture_default_str();
+  command.add_option("--descriptors", crowds.descriptors, "Limit of the instance's descriptors")
+      ->check(CLI::Range(256, 4096))
+      ->capture_default_str();
+  command.add_flag("--ignore-memory", crowds.ignoresMemory, "Do not compare the memory with its limit");
+  command.add_option("--seconds", crowds.seconds, "How long each crowd stays, in seconds")
+      ->check(CLI::Range(1, 600))
+      ->capture_default_str();
+}
+
+int playCrowds(CommandLine &line) {
+  line.crowds.program = line.program;
+  line.crowds.folder = line.folder;
+  return lab::playCrowds(line.crowds);
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -210,6 +240,11 @@
       ->add_option("--before", line.other,
                    "Executable of an earlier version, measured alternately with --marshal")
       ->check(CLI::ExistingFile);
+  auto *crowdsCommand = app.add_subcommand(
+      "crowds",
+      "Put crowds of misbehaving clients before an instance with little memory; exit with code 1 if "
+      "a request of a usual client is lost or the process passes its limit");
+  addCrowdOptions(*crowdsCommand, line);
   auto *floorCommand = app.add_subcommand("floor",
                                           "Compare CPU per request and added latency with a bare relay");
   floorCommand->add_option("--runs", line.runs, "Number of runs")->check(CLI::Range(1, 100));
@@ -224,6 +259,7 @@
     if (sizesCommand->parsed()) return lab::sizes();
     if (pipelinesCommand->parsed())
       return lab::measurePipelines({line.program, line.other, line.folder, line.runs});
+    if (crowdsCommand->parsed()) return playCrowds(line);
     if (floorCommand->parsed()) return lab::measureProxyOverhead(line.program, line.folder, line.runs);
     if (compareCommand->parsed()) return compareReports(line);
   } catch (const CLI::CallForHelp &e) {
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -30,6 +30,7 @@
   int ttl = 2;              // seconds, of name records
   int release = 1;          // told for the names; -1: unknown
   double cap = 0.3, free = 2;
+  int memoryMb = 192, descriptors = 1024; // limits of each instance
   LoadSettings load;
   std::vector<Event> events;
   std::string settings; // TOML that the instances' settings get besides
