--- a/src/downstream/client_session_requests.cpp
+++ b/src/downstream/client_session_requests.cpp
@@ -178,13 +178,16 @@
 }
 
 // Completes the request's answer and makes the request behind it the first in flight. The coroutine of the
-// finished request is still running.
+// finished request is still running, so that only the requests that have finished before are erased.
 void ClientSession::finishRequest(Requests::iterator self) {
+  eraseFinishedRequests();
   finishedRequests_.splice(finishedRequests_.end(), requests_, self);
   pg::addReadyForQuery(self->reply->text);
   self->reply->isComplete = true;
   self->memory.release();
   requestBytes_ -= self->text.size();
+  self->statement = {};
+  std::string().swap(self->text); // the client may send nothing more for a long time
   listener_.pipeliningLimits_.release(self->ticket);
   if (!requests_.empty()) listener_.pipeliningLimits_.onBecameFirst(requests_.front().ticket);
 }
