--- a/src/base/net/socket.cpp
+++ b/src/base/net/socket.cpp
@@ -1,12 +1,15 @@
 #include "base/net/socket.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <system_error>
 #include <unistd.h>
 #include <utility>
@@ -44,6 +47,15 @@
   return reason == sched::WakeReason::cancelled ? ErrorCode::cancelled : ErrorCode::timedOut;
 }
 
+// Removes the first `count` bytes of the parts.
+void removePrefix(std::span<std::string_view> parts, std::size_t count) {
+  for (auto &part : parts) {
+    const auto removed = std::min(count, part.size());
+    part.remove_prefix(removed);
+    count -= removed;
+  }
+}
+
 void disableNagle(int fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -192,11 +204,29 @@
   co_return woken == sched::WakeReason::notified ? ErrorCode::none : errorFromWakeReason(woken);
 }
 
+// Sends as send() does, with one system call for all parts.
+ssize_t Socket::sendParts(std::span<const std::string_view> parts) {
+  if (parts.size() == 1) return send(fd_, parts[0].data(), parts[0].size(), MSG_NOSIGNAL);
+  std::array<iovec, kMaxWriteParts> vectors;
+  msghdr message{};
+  message.msg_iov = vectors.data();
+  for (const auto part : parts.first(std::min(parts.size(), kMaxWriteParts)))
+    vectors[message.msg_iovlen++] = {const_cast<char *>(part.data()), part.size()};
+  return sendmsg(fd_, &message, MSG_NOSIGNAL);
+}
+
 Task<ErrorCode> Socket::write(std::string_view bytes, Deadline deadline) {
-  while (!bytes.empty()) {
-    const auto n = retryInterrupted([&] { return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL); });
+  const auto error = co_await write(std::span(&bytes, 1), deadline);
+  co_return error;
+}
+
+Task<ErrorCode> Socket::write(std::span<std::string_view> parts, Deadline deadline) {
+  for (;;) {
+    while (!parts.empty() && parts.front().empty()) parts = parts.subspan(1);
+    if (parts.empty()) co_return ErrorCode::none;
+    const auto n = retryInterrupted([&] { return sendParts(parts); });
     if (n >= 0) {
-      bytes.remove_prefix(static_cast<std::size_t>(n));
+      removePrefix(parts, static_cast<std::size_t>(n));
       bytesWritten_ += static_cast<std::size_t>(n);
       lastWriteAt_ = sched_.now();
       continue;
@@ -207,7 +237,6 @@
     const auto waited = co_await awaitRetry(writable_, expected, deadline);
     if (waited != ErrorCode::none) co_return waited;
   }
-  co_return ErrorCode::none;
 }
 
 bool Socket::tryWrite(std::string_view bytes) {
--- a/src/base/net/socket.h
+++ b/src/base/net/socket.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <netinet/in.h>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace myrtlehead::net {
@@ -36,6 +37,8 @@
 // Returns the text that parseAddress() reads.
 std::string formatAddress(const Address &address);
 
+constexpr std::size_t kMaxWriteParts = 8; // of one Socket::write()
+
 // A non-blocking socket descriptor. It is registered with the scheduler and counted in the budget during the
 // lifetime of the object.
 class Socket final : private sched::DescriptorObserver {
@@ -51,6 +54,9 @@
   Task<ErrorCode> read(Buffer &into, Deadline deadline);
   // Writes all bytes. They must stay valid until the coroutine ends; after a failure a part may be written.
   Task<ErrorCode> write(std::string_view bytes, Deadline deadline);
+  // The same for at most kMaxWriteParts parts in their order, which are gathered by the system call and not
+  // copied. What is written is removed from the parts.
+  Task<ErrorCode> write(std::span<std::string_view> parts, Deadline deadline);
   // Waits until epoll reports that the socket became readable after the call.
   Task<ErrorCode> waitReadable(Deadline deadline);
   // Reads once without waiting. Returns timedOut if there is nothing to read.
@@ -73,6 +79,7 @@
   Nanoseconds lastWriteAt() const { return lastWriteAt_; }   // when write() last wrote a byte
 
 private:
+  ssize_t sendParts(std::span<const std::string_view> parts);
   // Whether an event of the descriptor will tell when a system call can be repeated.
   enum class EventExpected { yes, no };
   friend Task<Result<std::unique_ptr<Socket>>> connect(Scheduler &, DescriptorBudget &, Address, Deadline);
--- a/src/format/pg/message.cpp
+++ b/src/format/pg/message.cpp
@@ -225,9 +225,13 @@
   out += body;
 }
 
-void addQuery(std::string &out, std::string_view sql) {
+void addQueryHeader(std::string &out, std::size_t sqlBytes) {
   out += 'Q';
-  addInt32(out, static_cast<std::uint32_t>(sql.size() + 1 + kLengthBytes));
+  addInt32(out, static_cast<std::uint32_t>(sqlBytes + 1 + kLengthBytes));
+}
+
+void addQuery(std::string &out, std::string_view sql) {
+  addQueryHeader(out, sql.size());
   addCString(out, sql);
 }
 
--- a/src/format/pg/message.h
+++ b/src/format/pg/message.h
@@ -79,6 +79,8 @@
 void addMessage(std::string &out, char type, std::string_view body);
 void addStartup(std::string &out, std::string_view user, std::string_view database);
 void addQuery(std::string &out, std::string_view sql);
+// The beginning of a Query message, which is followed by `sqlBytes` bytes of SQL and a null byte.
+void addQueryHeader(std::string &out, std::size_t sqlBytes);
 // AuthenticationOk, ParameterStatus for each reported parameter, and BackendKeyData.
 void addSessionStart(std::string &out, std::uint32_t process, std::uint32_t secret);
 void addNegotiateProtocolVersion(std::string &out); // offers only version 3.0
--- a/src/format/pg/statement.cpp
+++ b/src/format/pg/statement.cpp
@@ -302,11 +302,4 @@
   return out;
 }
 
-std::string textWithTimeout(const Statement &statement, std::int64_t ms) {
-  std::string out(statement.text.substr(0, statement.timeoutOffset));
-  out += std::to_string(ms);
-  out += statement.text.substr(statement.timeoutOffset + statement.timeoutLength);
-  return out;
-}
-
 } // namespace myrtlehead::pg
--- a/src/format/pg/statement.h
+++ b/src/format/pg/statement.h
@@ -36,7 +36,4 @@
 // Returns the statement with its views moved to `copy`, which must have the same content as its text.
 Statement rebindStatement(const Statement &statement, std::string_view copy);
 
-// Returns the statement's text with its timeout replaced by `ms`.
-std::string textWithTimeout(const Statement &statement, std::int64_t ms);
-
 } // namespace myrtlehead::pg
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -99,9 +99,8 @@
     out.outcome = Outcome::notSent;
     co_return out;
   }
-  std::string query;
-  pg::addQuery(query, pg::textWithTimeout(statement, forwardedTimeoutMs(deadline.at - sched_.now())));
-  const auto failure = co_await exchange(*connection, std::move(query), deadline, sendBy, memoryToLeave, out);
+  pg::ForwardedQuery query(statement, forwardedTimeoutMs(deadline.at - sched_.now()));
+  const auto failure = co_await exchange(*connection, query, deadline, sendBy, memoryToLeave, out);
   if (failure.cause != ErrorCode::none)
     out.outcome = outcomeOf(failure);
   else
@@ -156,11 +155,11 @@
 // Writes the statement and reads its answer, including ReadyForQuery if that has arrived with it. Only an
 // answer in the expected form is passed on. If anything else arrives, the statement may have been executed,
 // and the attempt fails.
-net::Task<Failure> ConnectionPool::exchange(Connection &connection, std::string query, net::Deadline deadline,
-                                            Nanoseconds sendBy, const AnswerMemoryToLeave &memoryToLeave,
-                                            AttemptResult &out) {
+net::Task<Failure> ConnectionPool::exchange(Connection &connection, pg::ForwardedQuery &query,
+                                            net::Deadline deadline, Nanoseconds sendBy,
+                                            const AnswerMemoryToLeave &memoryToLeave, AttemptResult &out) {
   const net::Deadline writeDeadline{std::min(deadline.at, sendBy), deadline.cancellation};
-  const auto written = co_await connection.socket->write(query, writeDeadline);
+  const auto written = co_await connection.socket->write(query.parts(), writeDeadline);
   if (written != ErrorCode::none) co_return Failure{written, SendProgress::partlyWritten};
   auto &buffer = connection.buffer;
   auto progress = SendProgress::fullyWritten;
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -9,6 +9,7 @@
 
 #include "base/net/memory_budget.h"
 #include "base/net/socket.h"
+#include "format/pg/forwarded_query.h"
 #include "format/pg/message.h"
 #include "format/pg/statement.h"
 #include "router/router.h"
@@ -90,7 +91,7 @@
   net::Task<net::Result<PooledConnection>> openConnection(const UpstreamEndpoint &endpoint,
                                                           net::Deadline deadline);
   net::Task<net::Failure> handshake(Connection &connection, net::Deadline deadline);
-  net::Task<net::Failure> exchange(Connection &connection, std::string query, net::Deadline deadline,
+  net::Task<net::Failure> exchange(Connection &connection, pg::ForwardedQuery &query, net::Deadline deadline,
                                    Nanoseconds sendBy, const AnswerMemoryToLeave &memoryToLeave,
                                    AttemptResult &out);
   bool addToAnswer(Connection &connection, pg::ReplyValidator::MessageKind part, const pg::Message &message,
--- a/tests/failing_calls.h
+++ b/tests/failing_calls.h
@@ -70,6 +70,12 @@
   return real(fd, from, size, flags);
 }
 
+extern "C" ssize_t sendmsg(int fd, const msghdr *message, int flags) {
+  if (sendFailure.takesCall()) return -1;
+  static auto *const real = next<ssize_t(int, const msghdr *, int)>("sendmsg");
+  return real(fd, message, flags);
+}
+
 extern "C" ssize_t read(int fd, void *into, size_t size) {
   if (fd == failingReadFd && readFailure.takesCall()) return -1;
   static auto *const real = next<ssize_t(int, void *, size_t)>("read");
--- /dev/null
+++ b/tests/forwarded_query.h
@@ -0,0 +1,14 @@
+// Shared by the tests of statements: the bytes of a forwarded query.
+#pragma once
+
+#include "format/pg/forwarded_query.h"
+
+namespace myrtlehead {
+
+inline std::string forwardedQuery(const pg::Statement &statement, std::int64_t timeoutMs) {
+  std::string out;
+  for (const auto part : pg::ForwardedQuery(statement, timeoutMs).parts()) out += part;
+  return out;
+}
+
+} // namespace myrtlehead
