--- a/src/format/pg/statement.cpp
+++ b/src/format/pg/statement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstring>
 #include <optional>
 #include <utility>
 
@@ -11,6 +12,7 @@
 
 constexpr std::int64_t kMaxTimeoutMs = 24LL * 3600 * 1000;
 constexpr std::size_t kMaxNameLength = 128; // limit in bytes of an id, a route or a key
+constexpr int kMaxCommentFields = 64;       // so that a long comment costs little work
 
 constexpr const char *kSyntaxError = "42601";
 constexpr const char *kNotSupported = "0A000";
@@ -48,12 +50,8 @@
 // Returns the index after the string that opens at `i`, or `text.size()` + 1 if the string is not terminated.
 std::size_t endOfString(std::string_view text, std::size_t i) {
   const char quote = text[i];
-  for (++i; i < text.size(); ++i) {
-    if (text[i] != quote) continue;
-    if (i + 1 < text.size() && text[i + 1] == quote)
-      ++i; // a doubled quote stands for a quote
-    else
-      return i + 1;
+  for (++i; (i = text.find(quote, i)) != text.npos; i += 2) { // a doubled quote stands for a quote
+    if (i + 1 == text.size() || text[i + 1] != quote) return i + 1;
   }
   return text.size() + 1;
 }
@@ -63,11 +61,12 @@
 std::size_t endOfComment(std::string_view text, std::size_t i) {
   int depth = 0;
   while (i + 1 < text.size()) {
-    const auto twoChars = text.substr(i, 2);
-    if (twoChars == "/*") {
+    const char c = text[i];
+    const char next = text[i + 1];
+    if (c == '/' && next == '*') {
       ++depth;
       i += 2;
-    } else if (twoChars == "*/") {
+    } else if (c == '*' && next == '/') {
       i += 2;
       if (--depth == 0) return i;
     } else {
@@ -109,10 +108,24 @@
   return out;
 }
 
+// Returns a number of bytes at the front of the text that are ASCII, at least all up to the eight that hold
+// the first other byte.
+std::size_t asciiPrefixBytes(std::string_view text) {
+  constexpr std::uint64_t kHighBits = 0x8080808080808080;
+  std::size_t count = 0;
+  for (std::uint64_t eightBytes = 0; count + sizeof eightBytes <= text.size(); count += sizeof eightBytes) {
+    std::memcpy(&eightBytes, text.data() + count, sizeof eightBytes);
+    if ((eightBytes & kHighBits) != 0) break;
+  }
+  return count;
+}
+
 // Rejects invalid UTF-8, which would corrupt the log and break the endpoint's parser.
 bool isValidUtf8(std::string_view s) {
   constexpr std::size_t kInvalid = 4;
   for (std::size_t i = 0; i < s.size();) {
+    i += asciiPrefixBytes(s.substr(i));
+    if (i == s.size()) return true;
     const auto c = static_cast<unsigned char>(s[i]);
     const std::size_t continuationBytes = c < 0x80                 ? 0
                                           : c >= 0xc2 && c <= 0xdf ? 1
@@ -192,13 +205,16 @@
 }
 
 // Parses name=value items, separated by commas. Returns false if id, c, d or k is repeated, an item has no
-// name, a value is invalid, or one of id, c (route) and d (timeout) is missing. Unknown names are ignored.
+// name, a value is invalid, one of id, c (route) and d (timeout) is missing, or there are more than
+// kMaxCommentFields items. Unknown names are ignored.
 bool parseComment(std::string_view comment, Statement &out) {
   bool hasId = false;
   bool hasRoute = false;
   bool hasTimeout = false;
   bool hasKey = false;
+  int fields = 0;
   for (auto rest = trimmed(comment);;) {
+    if (++fields > kMaxCommentFields) return false;
     const auto comma = std::min(rest.find(','), rest.size());
     const auto item = trimmed(rest.substr(0, comma));
     const auto eq = item.find('=');
@@ -282,7 +298,8 @@
                               "the statement must contain exactly one comment: /* id=...,c=...,d=... */");
   if (!parseComment(parts.comment, s))
     return malformedStatement(s, kSyntaxError,
-                              "the comment must contain id, c and d once each, with d in whole milliseconds");
+                              "the comment must contain id, c and d once each, with d in whole milliseconds, "
+                              "and at most 64 fields");
   s.kind = Statement::request;
   s.rowKey = parts.literal;
   s.rowKeyNumber = rowKeyNumberOf(parts.literal);
--- a/tests/pg_statement_test.cpp
+++ b/tests/pg_statement_test.cpp
@@ -9,6 +9,30 @@
 
 using namespace myrtlehead;
 
+// Guards against comments whose many fields cost more work than the request.
+TEST_CASE("a comment has at most 64 fields") {
+  const auto statement = [](int otherFields) {
+    std::string comment;
+    for (int i = 0; i < otherFields; ++i) comment += "x=1,";
+    return "SELECT v FROM records WHERE k = '7f' /* " + comment + "id=1,c=read,d=5 */";
+  };
+  REQUIRE(pg::parseStatement(statement(61)).kind == pg::Statement::request);
+  REQUIRE(pg::parseStatement(statement(62)).kind == pg::Statement::malformed);
+}
+
+// Invalid bytes are found at every distance from the front, whatever the number of bytes looked at together.
+TEST_CASE("an invalid byte behind any number of ASCII characters makes a statement malformed") {
+  for (std::size_t n = 0; n < 40; ++n) {
+    const auto valid = std::string(n, 'a') + "\xc3\xa4";
+    const auto statement = [](const std::string &key) {
+      return "SELECT v FROM records WHERE k = '" + key + "' /* id=1,c=read,d=5 */";
+    };
+    REQUIRE(pg::parseStatement(statement(valid)).kind == pg::Statement::request);
+    REQUIRE(pg::parseStatement(statement(std::string(n, 'a') + "\xff")).kind == pg::Statement::malformed);
+    REQUIRE(pg::parseStatement(statement(std::string(n, 'a') + "\xc3")).kind == pg::Statement::malformed);
+  }
+}
+
 TEST_CASE("a request is parsed together with the fields of its comment") {
   const std::string sql = "SELECT v FROM records WHERE k = '7f3a9c21e0b4d655' /* id=9b1f,c=basket,d=480 */";
   const auto s = pg::parseStatement(sql);
