--- a/src/base/sched/scheduler.cpp
+++ b/src/base/sched/scheduler.cpp
@@ -125,6 +125,7 @@
 // is read instead of timing out.
 void Scheduler::run() {
   while (!isHalted_) {
+    ++round_;
     poll();
     expireTimers();
     resumeReady();
--- a/src/base/sched/scheduler.h
+++ b/src/base/sched/scheduler.h
@@ -129,6 +129,8 @@
   // The time at which the clock was last read. The clock is read before and after the descriptors are polled
   // and before each coroutine is resumed.
   Nanoseconds now() const { return now_; }
+  // The number of the current round, counted from 1.
+  std::uint64_t round() const { return round_; }
   Wait wait(Event &event, Deadline deadline = {}) { return {*this, &event, deadline}; }
   // With a `duration` of 0 the coroutine is resumed in the next round.
   Wait sleep(Nanoseconds duration, CancellationToken *cancellation = nullptr) {
@@ -163,6 +165,7 @@
   Clock clock_;
   int epoll_ = -1;
   Nanoseconds now_ = 0;
+  std::uint64_t round_ = 0;
   bool isHalted_ = false;
   WaitListNode ready_;
   std::multimap<Nanoseconds, Wait *> timers_; // by deadline
--- a/src/downstream/client_session.cpp
+++ b/src/downstream/client_session.cpp
@@ -130,8 +130,11 @@
 net::Task<> ClientSession::serveMessages() {
   pg::Message message;
   for (unsigned n = 1;; ++n) {
+    const auto readBefore = lastReadAt_;
     const auto next = co_await nextMessage(message);
     if (next == SessionFlow::end) co_return;
+    const bool isBehindOthers = readBefore == lastReadAt_ || !requests_.empty();
+    if (isBehindOthers) co_await awaitTurn(message.size);
     if (n % kMessagesPerTurn == 0) co_await throttle();
     const auto size = message.size;
     const auto handled = co_await handleMessage(message);
@@ -157,6 +160,13 @@
   co_return ClientState::connected;
 }
 
+// Waits until a message that the client has written behind others may be handled.
+net::Task<> ClientSession::awaitTurn(std::size_t bytes) {
+  auto &turns = listener_.messageTurns_;
+  const auto ticket = turns.enqueue(bytes, listener_.sched_.round());
+  while (!turns.mayHandle(ticket, listener_.sched_.round())) co_await listener_.sched_.sleep(0);
+}
+
 bool ClientSession::isThrottled() const { return invalidCommands_ >= kInvalidCommandsPerThrottleStep; }
 
 // Delays the session, the longer the more invalid commands the client has sent, so that a client that keeps
--- a/src/downstream/client_session.h
+++ b/src/downstream/client_session.h
@@ -116,6 +116,7 @@
   net::Task<> closeGracefully();
   net::Task<> closeAtShutdown();
   net::Task<ClientState> awaitUsageWithinLimits();
+  net::Task<> awaitTurn(std::size_t bytes);
   bool isThrottled() const;
   net::Task<> throttle();
   // Answers with a fatal error and closes the connection.
--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -5,6 +5,7 @@
 #include "base/net/socket.h"
 #include "policy/connection_limits.h"
 #include "policy/graceful_shutdown.h"
+#include "policy/message_turns.h"
 #include "policy/pipelining_limits.h"
 #include "router/router.h"
 #include "upstream/connection_pool.h"
@@ -81,6 +82,7 @@
   std::map<connection_limits::ReclaimGroup, std::list<ClientSession *>> reclaimable_;
   std::set<std::string, std::less<>> openRequestIds_; // ids of the requests in flight
   pipelining_limits::PipeliningLimits pipeliningLimits_;
+  message_turns::MessageTurns messageTurns_;
   // Events since the latest log line about them.
   struct UnloggedEvents {
     unsigned count = 0;
