--- a/lab/crowd_clients.h
+++ b/lab/crowd_clients.h
@@ -23,10 +23,12 @@
   manyFields,        // startup messages and comments with thousands of short fields
   unsoundStatements, // statements that are refused, under ever new ids and routes, at full speed
   leavers,           // requests written back to back by clients that close their connections soon after
+  orderlyLeavers,    // the same with much more, behind an answer that is read, so that no reset tells of the
+                     // close
   mixed              // each connection is of another kind, drawn at random
 };
-inline constexpr std::array kCrowdKindNames{"large",  "kept",   "medium",  "pipelined", "slow", "stopped",
-                                            "unread", "fields", "unsound", "leavers",   "mixed"};
+inline constexpr std::array kCrowdKindNames{"large",  "kept",   "medium",  "pipelined", "slow",    "stopped",
+                                            "unread", "fields", "unsound", "leavers",   "orderly", "mixed"};
 
 // A client that has closed its connection, and the range of the ids of its requests.
 struct Departure {
@@ -74,11 +76,13 @@
   net::Task<> leaveUnread(net::Socket &socket);
   net::Task<> sendManyFields(net::Socket &socket);
   net::Task<> sendUnsound(net::Socket &socket);
-  net::Task<> leave(net::Socket &socket);
+  net::Task<> leave(net::Socket &socket, int requests);
+  net::Task<> leaveOrderly(net::Socket &socket);
   net::Task<> awaitEnd(net::Socket &socket);
   // Reads until the n-th ReadyForQuery, the end of the connection or a limit of time.
   net::Task<> readAnswers(net::Socket &socket, int readyCount);
   std::string request(std::size_t bytes);
+  std::string leaverRequests(int count);
   net::Deadline writeDeadline() const;
 
   net::Scheduler &sched_;
--- a/lab/node.cpp
+++ b/lab/node.cpp
@@ -108,6 +108,7 @@
 
 net::Task<bool> EmulatedNode::run(const pg::Statement &statement, std::string &out) {
   countAttempt();
+  if (statement.route == "once") ledger_.arrivals[std::string(statement.id)] = sched_.now();
   crashIfOverloaded();
   std::uniform_real_distribution<double> uniform(0, 1);
   if (admitted_ - finished_ >= static_cast<std::uint64_t>(work_.cores + work_.maxQueueLength)) {
--- a/lab/node.h
+++ b/lab/node.h
@@ -46,6 +46,8 @@
     int runs = 0;                  // executions, without repeats within the idempotency window
     Nanoseconds lastAttemptAt = 0; // of an attempt with this request id, including repeats
   };
+  // When an attempt last arrived, by request id, on the route whose requests may run once only.
+  std::unordered_map<std::string, Nanoseconds> arrivals;
   std::unordered_map<std::string, Effect> effects; // by request id, on routes that are not idempotent
   std::unordered_map<std::string, int> runsByRow;  // by the requested row; counted if countsRunsByRow is set
   bool countsRunsByRow = false;
--- a/src/app/instance.cpp
+++ b/src/app/instance.cpp
@@ -137,6 +137,7 @@
   if (clusterMember_) clusterMember_->start();
   sched_.spawn(listener_->acceptConnections());
   sched_.spawn(listener_->sweepIdleConnections());
+  sched_.spawn(listener_->probeUnreadClients());
   sched_.spawn(applyReloads(sched_, *reloadableComponents_, reloadRequest_, log_));
   sched_.spawn(handleSignals(sched_, signals_, *listener_, clusterMember_.get(), reloadRequest_, log_));
 }
--- a/src/base/net/socket.cpp
+++ b/src/base/net/socket.cpp
@@ -6,8 +6,10 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <system_error>
@@ -244,6 +246,11 @@
   return n == static_cast<ssize_t>(bytes.size());
 }
 
+bool Socket::isAllAcknowledged() const {
+  int unacknowledgedBytes = 0;
+  return ioctl(fd_, SIOCOUTQ, &unacknowledgedBytes) == 0 && unacknowledgedBytes == 0;
+}
+
 bool Socket::isOpenAndIdle() const {
   char byte;
   return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
--- a/src/base/net/socket.h
+++ b/src/base/net/socket.h
@@ -63,6 +63,10 @@
   ErrorCode tryRead(Buffer &into);
   // Writes without waiting. Returns true if all bytes were written.
   bool tryWrite(std::string_view bytes);
+  // Whether everything that was written has been acknowledged by the peer's system.
+  bool isAllAcknowledged() const;
+  // Whether the peer is known to have closed its end.
+  bool isHungUp() const { return isHungUp_; }
   // Whether data, or the end of the stream, may have arrived that is not read yet.
   bool mayHaveUnreadData() const { return isReadReady_; }
   // Returns true if the peer has not closed the connection and there is nothing to read.
--- a/src/downstream/client_session.cpp
+++ b/src/downstream/client_session.cpp
@@ -61,6 +61,18 @@
   closeToken_.cancel();
 }
 
+void ClientSession::probeIfUnread() {
+  const bool hasUnread = lastReadAt_ != 0 && socket_->mayHaveUnreadData() && !socket_->isHungUp();
+  const bool isAtBoundary = isStarted_ && !isWriting_ && !replies_.hasBytesToWrite() &&
+                            phase_ != Phase::closing && !clientGone_.isCancelled();
+  if (!hasUnread || !isAtBoundary) return;
+  if (!connection_limits::mustProbe(lastReadAt_, listener_.sched_.now()) || !socket_->isAllAcknowledged())
+    return;
+  std::string probe;
+  pg::addRepeatedParameter(probe);
+  if (!socket_->tryWrite(probe)) abortConnection(); // a part of the message may have been written
+}
+
 void ClientSession::closeIdle() {
   moveToGroup(std::nullopt); // the listener must not choose it again
   requestCloseNow();
@@ -212,6 +224,7 @@
     if (startup.minor > 0) pg::addNegotiateProtocolVersion(out);
     pg::addSessionStart(out, number_, number_ * 2654435761u);
     pg::addReadyForQuery(out);
+    isStarted_ = true;
     co_return SessionFlow::proceed;
   }
 }
--- a/src/downstream/client_session.h
+++ b/src/downstream/client_session.h
@@ -57,6 +57,10 @@
   // read them; sched::kNever if it may not.
   Nanoseconds answerMemoryReclaimableAt() const;
   void abortConnection(); // without sending anything more
+  // Writes a message that clients ignore if bytes of the client are left unread. The end of its stream may
+  // wait behind them; if the client has closed its connection, its system answers with a reset, which is
+  // noticed.
+  void probeIfUnread();
   // When the session was added to the group in which it is now.
   Nanoseconds inGroupSince() const { return inGroupSince_; }
   // Whether a request or another valid statement has been received on the connection.
@@ -176,6 +180,7 @@
   bool isAborted_ = false;              // ClientState is gone
   sched::CancellationToken closeToken_; // cancelled to close the connection now
   CloseRequest closeRequest_ = CloseRequest::none;
+  bool isStarted_ = false;        // the startup message has been read
   bool isSkippingToSync_ = false; // messages are ignored until Sync, after an extended-protocol error
   std::list<ClientSession *>::iterator positionInSessions_;
   std::list<ClientSession *>::iterator positionInGroup_;
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -89,6 +89,13 @@
   }
 }
 
+net::Task<> Listener::probeUnreadClients() {
+  for (;;) {
+    co_await sched_.sleep(connection_limits::kProbeInterval);
+    for (auto *session : sessions_) session->probeIfUnread();
+  }
+}
+
 Nanoseconds Listener::reclaimMessageMemory() {
   const auto slowest = std::ranges::min_element(sessions_, {}, &ClientSession::memoryReclaimableAt);
   if (slowest == sessions_.end()) return sched::kNever;
--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -35,6 +35,9 @@
   net::Task<> acceptConnections();
   // Periodically closes connections that have been idle too long. Never returns.
   net::Task<> sweepIdleConnections();
+  // Periodically finds out which clients have closed their connections behind bytes that are left unread.
+  // Never returns.
+  net::Task<> probeUnreadClients();
   // Shuts down. New connections and requests are still accepted for a while, then those in the backlog. After
   // that idle connections are closed at once and the others as soon as they are answered. Returns when no
   // connection is left.
--- a/src/format/pg/message.cpp
+++ b/src/format/pg/message.cpp
@@ -264,6 +264,13 @@
   addMessage(out, 'v', body);
 }
 
+void addRepeatedParameter(std::string &out) {
+  std::string body;
+  addCString(body, "client_encoding");
+  addCString(body, "UTF8");
+  addMessage(out, 'S', body);
+}
+
 void addReadyForQuery(std::string &out) { addMessage(out, 'Z', "I"); }
 
 void addEmptyQueryResponse(std::string &out) { addMessage(out, 'I', ""); }
--- a/src/format/pg/message.h
+++ b/src/format/pg/message.h
@@ -84,7 +84,9 @@
 // AuthenticationOk, ParameterStatus for each reported parameter, and BackendKeyData.
 void addSessionStart(std::string &out, std::uint32_t process, std::uint32_t secret);
 void addNegotiateProtocolVersion(std::string &out); // offers only version 3.0
-void addReadyForQuery(std::string &out);            // with the status "not in a transaction"
+// A ParameterStatus that repeats a value of addSessionStart(). Clients ignore it.
+void addRepeatedParameter(std::string &out);
+void addReadyForQuery(std::string &out); // with the status "not in a transaction"
 void addEmptyQueryResponse(std::string &out);
 void addCommandComplete(std::string &out, std::string_view tag);
 // RowDescription and DataRow with one column of type text.
--- a/tests/client_fixture.h
+++ b/tests/client_fixture.h
@@ -41,6 +41,7 @@
     router.onRolloutState({1, 2, RolloutPhase::released, 1, 0});
     router.onEndpointUpdates({{"s-1", endpoint.address(), {.build = 1}}}, true);
     loop.sched.spawn(listener.acceptConnections());
+    loop.sched.spawn(listener.probeUnreadClients());
     if (options.sweep == Sweep::on) loop.sched.spawn(listener.sweepIdleConnections());
   }
   sched::Task<std::unique_ptr<net::Socket>> connect() {
--- a/tests/client_session_test.cpp
+++ b/tests/client_session_test.cpp
@@ -6,6 +6,30 @@
 
 using namespace myrtlehead;
 
+// Guards against requests that are sent to endpoints although their client has closed its connection, where
+// the end of its stream waits behind bytes that are left unread.
+TEST_CASE("nothing is sent for a client that has closed its connection behind many unread requests") {
+  FixedAnswerProxy proxy(ScriptedServer::rowAnswer("value"), 300 * kMillisecond);
+  auto body = [&]() -> sched::Task<> {
+    RawClient client(proxy.listener.address());
+    client.write(startupMessage());
+    while (client.answers() != "RZ") {
+      co_await proxy.loop.sched.sleep(kMillisecond);
+      client.readAvailable();
+    }
+    std::string requests;
+    for (int id = 0; id < 20'000; ++id) requests += requestMessage(id);
+    client.writeSome(requests);
+    client.leave();
+    co_await proxy.loop.sched.sleep(150 * kMillisecond); // the operators' 0.1 s, and 50 ms on sockets
+    const auto sent = proxy.received.size();
+    CHECK(sent > 0);
+    co_await proxy.loop.sched.sleep(kSecond);
+    CHECK(proxy.received.size() == sent);
+  };
+  proxy.loop.run(body());
+}
+
 TEST_CASE("a query is served") {
   FixedAnswerProxy single;
   REQUIRE(replyTo(single, startupMessage() + queryMessage(kStatement), 2) == "RZTDCZ");
--- a/tests/raw_client.h
+++ b/tests/raw_client.h
@@ -27,6 +27,12 @@
   bool write(const std::string &bytes) {
     return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
   }
+  // Writes what the kernel takes at once.
+  void writeSome(const std::string &bytes) {
+    REQUIRE(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0);
+  }
+  // Closes the connection. What was written is still delivered by the kernel.
+  void leave() { close(); }
   // Ends what the client sends; it still reads.
   void endSending() { REQUIRE(shutdown(fd_, SHUT_WR) == 0); }
   // Reads up to the end of the connection and returns the types of all messages, followed by "?" if
