--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -5,6 +5,8 @@
 #include "app/settings/settings.h"
 #include "app/signals.h"
 
+#include <malloc.h>
+
 namespace myrtlehead::app {
 
 namespace {
@@ -24,11 +26,22 @@
   return out;
 }
 
+// Has the allocator give large pieces back to the system as soon as they are freed. By default, the first
+// large piece that is freed raises the threshold, and what is freed later stays with the process in
+// fragments.
+void configureAllocator() {
+  constexpr int kSeparatePieceBytes = 32 * 1024; // pieces of this size and more are mapped on their own
+  constexpr int kTrimBytes = 256 * 1024;         // free bytes at the end of the heap that are kept
+  mallopt(M_MMAP_THRESHOLD, kSeparatePieceBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimBytes);
+}
+
 } // namespace
 
 void serve(const ServeOptions &options) {
   // Signals are blocked before the configuration is read, so that a signal sent in the meantime is handled
   // later, and before any thread starts, because threads inherit the signal mask.
+  configureAllocator();
   const int signalDescriptor = openSignalDescriptor();
   const auto config = bootstrap::readBootstrapConfig(bootstrap::readFile(options.configPath));
   const auto settings = readSettings(options, config);
