--- a/src/app/instance.cpp
+++ b/src/app/instance.cpp
@@ -1,5 +1,6 @@
 #include "app/instance.h"
 
+#include "app/memory_watch.h"
 #include "app/signals.h"
 
 #include <algorithm>
@@ -138,6 +139,7 @@
   sched_.spawn(listener_->acceptConnections());
   sched_.spawn(listener_->sweepIdleConnections());
   sched_.spawn(listener_->probeUnreadClients());
+  sched_.spawn(watchMemory(sched_, *listener_, config_.memoryBytes, log_));
   sched_.spawn(applyReloads(sched_, *reloadableComponents_, reloadRequest_, log_));
   sched_.spawn(handleSignals(sched_, signals_, *listener_, clusterMember_.get(), reloadRequest_, log_));
 }
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -96,6 +96,13 @@
   }
 }
 
+Listener::Usage Listener::usage() const {
+  const auto requests = static_cast<std::size_t>(pipeliningLimits_.admittedCount()) +
+                        pipeliningLimits_.waitingCount();
+  return {sessions_.size(), requests, messageMemory_.capacity() - messageMemory_.available(),
+          pool_.reservedAnswerBytes()};
+}
+
 Nanoseconds Listener::reclaimMessageMemory() {
   const auto slowest = std::ranges::min_element(sessions_, {}, &ClientSession::memoryReclaimableAt);
   if (slowest == sessions_.end()) return sched::kNever;
--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -42,6 +42,14 @@
   // that idle connections are closed at once and the others as soon as they are answered. Returns when no
   // connection is left.
   net::Task<> shutDown();
+  // What the clients hold now.
+  struct Usage {
+    std::size_t connections = 0;
+    std::size_t requests = 0;          // admitted or waiting
+    std::size_t largeMessageBytes = 0; // reserved
+    std::size_t largeAnswerBytes = 0;  // reserved
+  };
+  Usage usage() const;
   net::Address address() const { return net::localAddress(*socket_); }
 
 private:
--- a/src/policy/message_memory.cpp
+++ b/src/policy/message_memory.cpp
@@ -17,6 +17,8 @@
   return announcedBytes + kSmallMessageBytes;
 }
 
+bool isShort(std::size_t residentBytes, std::size_t limitBytes) { return residentBytes > limitBytes / 4 * 3; }
+
 Nanoseconds maxWait(std::span<const Nanoseconds> routeTimeouts) {
   const auto shortest = std::ranges::min_element(routeTimeouts);
   return shortest == routeTimeouts.end() ? 0 : *shortest / kMaxWaitDivisor;
--- a/src/policy/message_memory.h
+++ b/src/policy/message_memory.h
@@ -18,6 +18,9 @@
 // for a message that it announces and does not send.
 std::size_t bufferBytes(std::size_t announcedBytes, std::size_t arrivedBytes);
 
+// Whether so much of the memory that the process may have is resident that its operators are warned.
+bool isShort(std::size_t residentBytes, std::size_t limitBytes);
+
 // Returns how long a message may wait for memory before it is refused. Its client's timeout stands at the end
 // of the message and is not known yet, so the wait is a part of the shortest timeout of any route.
 Nanoseconds maxWait(std::span<const Nanoseconds> routeTimeouts);
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -57,6 +57,7 @@
                                    net::Deadline deadline, Nanoseconds sendBy,
                                    std::function<bool()> isStillCurrent,
                                    AnswerMemoryToLeave memoryToLeave = leaveNoMemory);
+  std::size_t reservedAnswerBytes() const { return answerMemory_.capacity() - answerMemory_.available(); }
   // To be called when some `memoryToLeave` may return less than before.
   void recheckAnswerMemory() { answerMemory_.released.notify(); }
   // Called when the memory for large answers is short. Takes some from a client that does not read its
--- a/tests/message_memory_test.cpp
+++ b/tests/message_memory_test.cpp
@@ -2,6 +2,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "policy/message_memory.h"
 #include "raw_client.h"
 
 #include <thread>
@@ -27,6 +28,11 @@
 
 } // namespace
 
+TEST_CASE("operators are warned above three quarters of the memory limit") {
+  CHECK(!message_memory::isShort(24 << 20, 32 << 20));
+  CHECK(message_memory::isShort((24 << 20) + 1, 32 << 20));
+}
+
 // Large messages are read as long as memory can be reserved; the others wait until some are answered.
 TEST_CASE("large messages wait for memory") {
   FixedAnswerProxy proxy(ScriptedServer::rowAnswer("value"), 20 * kMillisecond);
