--- a/src/downstream/client_session.cpp
+++ b/src/downstream/client_session.cpp
@@ -152,7 +152,7 @@
     const auto handled = co_await handleMessage(message);
     if (handled == SessionFlow::end) co_return;
     buffer_.consume(size);
-    buffer_.shrink(kSmallMessageBytes);
+    buffer_.shrink(message_memory::kIdleBufferBytes);
     memory_.release();
     eraseFinishedRequests();
     const auto client = co_await awaitUsageWithinLimits();
--- a/src/downstream/client_session_reading.cpp
+++ b/src/downstream/client_session_reading.cpp
@@ -129,7 +129,7 @@
 net::Task<> ClientSession::reserveMessageMemory(std::optional<Nanoseconds> begunAt) {
   if (!begunAt || discarded_) co_return;
   const auto announced = pg::announcedSize(buffer_.view());
-  const auto needed = message_memory::bufferBytes(announced, buffer_.view().size());
+  const auto needed = message_memory::clientBufferBytes(announced, buffer_.view().size());
   if (announced <= kSmallMessageBytes || needed <= kSmallMessageBytes || memory_.isAcquired()) co_return;
   readState_ = ReadState::awaitingMemory;
   const auto waitUntil = std::min(messageDeadline(*begunAt),
@@ -160,7 +160,7 @@
   const auto partial = buffer_.view();
   discarded_ = DiscardedMessage{partial.front(), pg::announcedSize(partial) - partial.size()};
   buffer_.consume(partial.size());
-  buffer_.shrink(kSmallMessageBytes);
+  buffer_.shrink(message_memory::kIdleBufferBytes);
   memory_.release();
   listener_.countRefusal();
 }
--- a/src/policy/message_memory.cpp
+++ b/src/policy/message_memory.cpp
@@ -19,6 +19,10 @@
 
 bool isShort(std::size_t residentBytes, std::size_t limitBytes) { return residentBytes > limitBytes / 4 * 3; }
 
+std::size_t clientBufferBytes(std::size_t announcedBytes, std::size_t arrivedBytes) {
+  return arrivedBytes < kIdleBufferBytes ? kSmallMessageBytes : announcedBytes + kSmallMessageBytes;
+}
+
 Nanoseconds maxWait(std::span<const Nanoseconds> routeTimeouts) {
   const auto shortest = std::ranges::min_element(routeTimeouts);
   return shortest == routeTimeouts.end() ? 0 : *shortest / kMaxWaitDivisor;
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -192,7 +192,7 @@
     isComplete = addToAnswer(connection, part, message, out);
     buffer.consume(message.size);
   }
-  buffer.shrink(kSmallMessageBytes);
+  buffer.shrink(message_memory::kIdleBufferBytes);
   // The load report comes between the answer and ReadyForQuery. What has not arrived yet is read later.
   sendEmptyQuery(connection);
   consumeResponseEnd(connection, &out);
@@ -284,7 +284,7 @@
     consumeResponseEnd(connection, nullptr);
   }
   if (error != ErrorCode::timedOut) return ConnectionHealth::unusable;
-  connection.buffer.shrink(kSmallMessageBytes);
+  connection.buffer.shrink(message_memory::kIdleBufferBytes);
   if (connection.hasUnexpectedContent) return ConnectionHealth::unusable;
   if (connection.pendingReadyForQuery > 0) return ConnectionHealth::awaitingResponseEnd;
   return connection.buffer.empty() ? ConnectionHealth::usable : ConnectionHealth::unusable;
@@ -313,7 +313,7 @@
   idle.endpoint = &endpoint;
   if (connection->endpointVersion != endpoint.version || !endpoint.isReady) return;
   connection->idleSince = sched_.now();
-  connection->buffer.shrink(kSmallMessageBytes);
+  connection->buffer.shrink(message_memory::kIdleBufferBytes);
   idle.connections.push_back(std::move(connection));
 }
 
