--- a/lab/crowds.cpp
+++ b/lab/crowds.cpp
@@ -31,6 +31,7 @@
   bool isAlive = false;
   int sentAfterClose = 0;
   int ranTwice = 0;
+  Nanoseconds fleetDelay = 0; // the longest by which the laboratory's own nodes have run late
 };
 
 // The value of a line of /proc/PID/status, in KB; 0 if the process has ended.
@@ -49,6 +50,7 @@
 private:
   sched::Task<> play();
   sched::Task<> startInstance();
+  sched::Task<> measureFleetDelay();
   void runCrowd(Nanoseconds endsAt);
   void checkDepartures();
 
@@ -130,8 +132,19 @@
     }
 }
 
+// What an overloaded fleet records as an arrival may have arrived earlier, by up to this delay.
+sched::Task<> CrowdPlay::measureFleetDelay() {
+  constexpr Nanoseconds kTick = 5 * kMillisecond;
+  for (;;) {
+    const auto due = sched_.now() + kTick;
+    co_await sched_.sleep(kTick);
+    result_.fleetDelay = std::max(result_.fleetDelay, sched_.now() - due);
+  }
+}
+
 sched::Task<> CrowdPlay::play() {
   co_await startInstance();
+  sched_.spawn(measureFleetDelay());
   co_await sched_.sleep(kSecond);
   result_.idleKb = statusKb(process_->pid(), "VmRSS");
   std::atomic<bool> hasCrowdEnded = false;
@@ -177,13 +190,14 @@
                       r.crowd.overstayed == 0 && r.sentAfterClose == 0 && r.ranTwice == 0;
   fmt::print("seed {} {} {}: {}; memory idle {:.1f}, peak {:.1f}, after {:.1f} MB; usual {} asked, {} rows, "
              "{} lost, p99 {:.0f} ms (alone {:.0f}); {} connections, {} overstayed, {} sent after a close, "
-             "{} ran twice{}{}\n",
+             "{} ran twice; the fleet up to {} ms late{}{}\n",
              seed, kCrowdKindNames[static_cast<std::size_t>(kind)], clients, isKept ? "kept" : "BROKEN",
              static_cast<double>(r.idleKb) / 1024, static_cast<double>(r.peakKb) / 1024,
              static_cast<double>(r.afterKb) / 1024, r.crowded.asked, r.crowded.rows, r.crowded.lost,
              static_cast<double>(r.crowded.percentile99()) / 1e6,
              static_cast<double>(r.quiet.percentile99()) / 1e6, r.crowd.connections, r.crowd.overstayed,
-             r.sentAfterClose, r.ranTwice, r.crowded.latestLoss, r.isAlive ? "" : "; the process ended");
+             r.sentAfterClose, r.ranTwice, r.fleetDelay / kMillisecond, r.crowded.latestLoss,
+             r.isAlive ? "" : "; the process ended");
   std::fflush(stdout);
   return isKept;
 }
