--- a/src/downstream/client_session.cpp
+++ b/src/downstream/client_session.cpp
@@ -66,8 +66,7 @@
   const bool isAtBoundary = isStarted_ && !isWriting_ && !replies_.hasBytesToWrite() &&
                             phase_ != Phase::closing && !clientGone_.isCancelled();
   if (!hasUnread || !isAtBoundary) return;
-  if (!connection_limits::mustProbe(lastReadAt_, listener_.sched_.now()) || !socket_->isAllAcknowledged())
-    return;
+  if (!socket_->isAllAcknowledged()) return;
   std::string probe;
   pg::addRepeatedParameter(probe);
   if (!socket_->tryWrite(probe)) abortConnection(); // a part of the message may have been written
--- a/src/policy/connection_limits.cpp
+++ b/src/policy/connection_limits.cpp
@@ -55,8 +55,6 @@
   return use == ConnectionUse::used ? kMaxIdleTime : kMaxUnusedIdleTime;
 }
 
-bool mustProbe(Nanoseconds lastReadAt, Nanoseconds now) { return now - lastReadAt >= kProbeInterval / 2; }
-
 Nanoseconds messageDeadline(ConnectionUse use, Nanoseconds openedAt, Nanoseconds begunAt) {
   return use == ConnectionUse::used ? begunAt + kMessageTimeout : openedAt + kFirstMessageTimeout;
 }
--- a/src/policy/connection_limits.h
+++ b/src/policy/connection_limits.h
@@ -52,8 +52,6 @@
 // How often a client of which bytes are left unread is probed. The end of its stream may wait behind them,
 // and no attempt may begin later than 0.1 s after a client has closed its connection.
 constexpr Nanoseconds kProbeInterval = 40'000'000;
-// Whether a client is probed of which no bytes have been read since `lastReadAt`.
-bool mustProbe(Nanoseconds lastReadAt, Nanoseconds now);
 
 // Returns until when the rest of a message may arrive whose first part arrived at `begunAt`, on a connection
 // that was opened at `openedAt`.
