--- a/src/base/net/socket.cpp
+++ b/src/base/net/socket.cpp
@@ -241,9 +241,9 @@
   }
 }
 
-bool Socket::tryWrite(std::string_view bytes) {
+std::size_t Socket::writeSome(std::string_view bytes) {
   const auto n = retryInterrupted([&] { return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL); });
-  return n == static_cast<ssize_t>(bytes.size());
+  return n < 0 ? 0 : static_cast<std::size_t>(n);
 }
 
 bool Socket::isAllAcknowledged() const {
--- a/src/base/net/socket.h
+++ b/src/base/net/socket.h
@@ -61,8 +61,10 @@
   Task<ErrorCode> waitReadable(Deadline deadline);
   // Reads once without waiting. Returns timedOut if there is nothing to read.
   ErrorCode tryRead(Buffer &into);
+  // Writes without waiting. Returns the number of bytes that were written, 0 if the system call failed.
+  std::size_t writeSome(std::string_view bytes);
   // Writes without waiting. Returns true if all bytes were written.
-  bool tryWrite(std::string_view bytes);
+  bool tryWrite(std::string_view bytes) { return writeSome(bytes) == bytes.size(); }
   // Whether everything that was written has been acknowledged by the peer's system.
   bool isAllAcknowledged() const;
   // Whether the peer is known to have closed its end.
--- a/src/downstream/client_session.cpp
+++ b/src/downstream/client_session.cpp
@@ -67,9 +67,14 @@
                             phase_ != Phase::closing && !clientGone_.isCancelled();
   if (!hasUnread || !isAtBoundary) return;
   if (!socket_->isAllAcknowledged()) return;
-  std::string probe;
-  pg::addRepeatedParameter(probe);
-  if (!socket_->tryWrite(probe)) abortConnection(); // a part of the message may have been written
+  static const std::string kProbe = [] {
+    std::string out;
+    pg::addRepeatedParameter(out);
+    return out;
+  }();
+  const auto written = socket_->writeSome(kProbe);
+  const bool isBroken = written > 0 && written < kProbe.size(); // no answer could follow a part of a message
+  if (isBroken) abortConnection();
 }
 
 void ClientSession::closeIdle() {
--- a/tests/system_call_failures_test.cpp
+++ b/tests/system_call_failures_test.cpp
@@ -46,6 +46,32 @@
   }
 }
 
+// Guards against a probe of a client with unread requests that ends the connection because it could not be
+// written.
+TEST_CASE("requests are answered although a probe of their client can't be written for a moment") {
+  constexpr int kRequests = 600;
+  FixedAnswerProxy proxy(ScriptedServer::rowAnswer("value"), 200 * kMillisecond);
+  auto body = [&]() -> sched::Task<> {
+    RawClient client(proxy.listener.address());
+    std::string bytes = startupMessage();
+    for (int id = 0; id < kRequests; ++id) bytes += requestMessage(id);
+    client.write(bytes);
+    while (proxy.received.size() < 128) co_await proxy.loop.sched.sleep(kMillisecond);
+    sendFailure = {ENOBUFS, 1}; // nothing but the probe is written before the first answer
+    while (sendFailure.calls > 0) co_await proxy.loop.sched.sleep(kMillisecond);
+    const auto answered = [&] {
+      const auto types = client.answers();
+      return std::count(types.begin(), types.end(), 'Z') == 1 + kRequests;
+    };
+    for (int i = 0; i < 400 && !answered(); ++i) {
+      co_await proxy.loop.sched.sleep(10 * kMillisecond);
+      client.readAvailable();
+    }
+    CHECK(answered());
+  };
+  proxy.loop.run(body());
+}
+
 // Guards against a listening socket that is closed, with connections in its backlog, after the system has
 // been short of descriptors for a moment.
 TEST_CASE("the backlog is served during a shutdown although accepting fails for a moment") {
